--- /dev/null
+++ b/include/lovagebeam/telemetry/log.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include <concepts>
+#include <string>
+#include <string_view>
+
+namespace lovagebeam::telemetry {
+
+enum class severity { debug, info, warning, error };
+
+/// Starts logging to the standard error stream from a thread of its own, with events below
+/// `lowest` left out. `node` appears in each line. Call once, before other threads start.
+void start_logging(severity lowest, std::string_view node);
+
+/// Writes what is waiting and stops logging. Events after that are lost.
+void stop_logging();
+
+/// Returns the severity named `name`, or `info` for an unknown name.
+severity severity_from_name(std::string_view name);
+
+/// Builds one log line of key=value pairs. Values with spaces, quotes or control characters are
+/// quoted and escaped, so that a line can always be split again.
+///
+///     log_event{severity::info, "epoch_installed"}.with("epoch", 7).write();
+class log_event {
+public:
+    log_event(severity level, std::string_view event);
+
+    log_event& with(std::string_view key, std::string_view value);
+    log_event& with(std::string_view key, const char* value)
+    {
+        return with(key, std::string_view{value});
+    }
+    log_event& with(std::string_view key, bool value)
+    {
+        return with(key, value ? "true" : "false");
+    }
+
+    template <class Number>
+    requires std::integral<Number> || std::floating_point<Number> log_event&
+    with(std::string_view key, Number value)
+    {
+        return with(key, std::to_string(value));
+    }
+
+    /// Hands the line to the log. Never blocks: lines beyond the bound of the log's queue are
+    /// dropped.
+    void write() const;
+
+    /// Returns the pairs as they will appear in the line.
+    [[nodiscard]] const std::string& text() const { return m_text; }
+
+private:
+    severity m_level;
+    std::string m_text;
+};
+
+} // namespace lovagebeam::telemetry
