--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -97,8 +97,9 @@
     double seen = m_impl->buckets.at(-1);
     for (auto&& bucket : bh::indexed(m_impl->buckets)) {
         seen += *bucket;
-        out += base + "_bucket{" + prefix + "le=\"" + number(bucket.bin().upper()) + "\"} " +
-               std::to_string(static_cast<std::uint64_t>(seen)) + "\n";
+        out.append(base).append("_bucket{").append(prefix).append("le=\"");
+        out.append(number(bucket.bin().upper())).append("\"} ");
+        out.append(std::to_string(static_cast<std::uint64_t>(seen))).append("\n");
     }
     const std::string count = std::to_string(m_impl->count);
     out += base + "_bucket{" + prefix + "le=\"+Inf\"} " + count + "\n";
