--- /dev/null
+++ b/include/lovagebeam/targets/http_client.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/base/types.h"
+
+#include <absl/status/status.h>
+
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagebeam::targets {
+
+struct http_header {
+    std::string name;
+    std::string value;
+};
+
+/// Where a target or worker listens: an IPv4 or IPv6 address and a port.
+struct endpoint {
+    std::string address;
+    std::uint16_t port = 0;
+
+    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+};
+
+/// How a call ended. Only `answered` carries an answer, which is then whole.
+enum class http_outcome {
+    answered,
+    connect_failed,   ///< No connection, or a reused one failed before a byte was written.
+    timed_out,        ///< The deadline passed: waiting, connecting, writing or reading.
+    reset,            ///< The connection failed before the first byte of an answer.
+    truncated,        ///< The connection ended or the answer was malformed after its first byte.
+    queue_full,       ///< All connections were busy and the queue of the endpoint was full.
+    answer_too_large, ///< The answer exceeds the limits.
+    cancelled,        ///< The endpoint was closed or the client stopped.
+    invalid_call,     ///< The address, method, path or a header can't be sent.
+};
+
+/// Returns the stable name of `outcome`, for example "connect_failed".
+std::string_view name_of(http_outcome outcome);
+
+struct http_call {
+    endpoint to;
+    std::string method;               ///< "GET", "POST", "PUT" or "DELETE".
+    std::string path;                 ///< Path and query; starts with a slash.
+    std::vector<http_header> headers; ///< Without Host, Content-Length and Connection.
+    std::string body;
+    base::time_point deadline; ///< The whole call ends before this time or as `timed_out`.
+};
+
+struct http_result {
+    http_outcome outcome = http_outcome::cancelled;
+    /// Whether a byte of the request may have reached the other end. When false, the call
+    /// certainly had no effect there.
+    bool maybe_sent = false;
+    bool reused_connection = false; ///< The connection had served an earlier call.
+    unsigned status = 0;
+    std::vector<http_header> headers;
+    std::string body;
+    std::string detail; ///< For logs: what failed. Empty when answered.
+
+    [[nodiscard]] bool answered() const { return outcome == http_outcome::answered; }
+
+    /// Returns the value of the first header with this name, ignoring case, or nothing.
+    [[nodiscard]] std::optional<std::string_view> header(std::string_view name) const;
+
+    /// Returns ok when answered, otherwise a status with the matching error code.
+    [[nodiscard]] absl::Status to_status() const;
+};
+
+/// Called once for each call, on the client's thread. Must not block.
+using http_callback = std::function<void(http_result)>;
+
+struct http_client_limits {
+    /// Connections to one endpoint, counted from before the connect until the close is complete.
+    std::size_t connections_per_endpoint = 20;
+    /// Calls to one endpoint that wait for a connection.
+    std::size_t queue_per_endpoint = 1'024;
+    std::size_t answer_header_bytes = std::size_t{16} * 1024;
+    /// Less than the 4 MiB of a peer message, which carries the answer to the entry host.
+    std::size_t answer_body_bytes = std::size_t{2} * 1024 * 1024;
+    std::chrono::milliseconds connect_time{1'000};
+    /// Idle connections are closed after this time instead of being probed.
+    std::chrono::milliseconds idle_time{5'000};
+    /// How long a closing connection waits for the other end's close before it is reset.
+    std::chrono::milliseconds close_time{250};
+};
+
+struct http_client_counters {
+    std::uint64_t calls = 0;
+    std::uint64_t answered = 0;
+    std::uint64_t failed = 0;
+    std::uint64_t connections_opened = 0; ///< Connects begun.
+    std::uint64_t connections_open = 0;   ///< Counted as in `connections_per_endpoint`.
+    std::uint64_t connections_reused = 0; ///< Calls that took an idle connection.
+    std::uint64_t bytes_in = 0;           ///< Bodies of answers.
+    std::uint64_t bytes_out = 0;          ///< Bodies of requests.
+};
+
+/// An asynchronous HTTP/1.1 client with one thread of its own. A call is sent at most once; nothing
+/// is retried here. The functions may be called from any thread.
+class http_client {
+public:
+    explicit http_client(const http_client_limits& limits = {});
+
+    /// Stops the client.
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    /// Starts the thread. Calls may be made before; they wait for it.
+    void start();
+
+    /// Ends every call as `cancelled`, closes the connections and ends the thread. Idempotent. Not
+    /// to be called from a callback. Calls after it end as `cancelled` on the calling thread.
+    void stop();
+
+    void send(http_call call, http_callback callback);
+
+    /// Ends the calls to `where` that wait or are in flight as `cancelled` and closes its
+    /// connections, for a target that is lost or fenced. Later calls connect anew.
+    void close_endpoint(const endpoint& where);
+
+    [[nodiscard]] http_client_counters counters() const;
+
+    /// Returns the number of connections to `where`, counted as in `connections_per_endpoint`.
+    [[nodiscard]] std::size_t connections_to(const endpoint& where) const;
+
+private:
+    class impl;
+    std::shared_ptr<impl> m_impl;
+};
+
+} // namespace lovagebeam::targets
