--- a/include/lovagebeam/base/errors.h
+++ b/include/lovagebeam/base/errors.h
@@ -44,6 +44,9 @@
     log_corrupt,
     snapshot_corrupt,
     state_diverged,
+    stale_fence,
+    in_use,
+    capacity_exceeded,
     shutting_down,
     internal_error,
 };
--- a/src/base/errors.cpp
+++ b/src/base/errors.cpp
@@ -60,6 +60,9 @@
     error_entry{error_code::log_corrupt, "log_corrupt", kDataLoss},
     error_entry{error_code::snapshot_corrupt, "snapshot_corrupt", kDataLoss},
     error_entry{error_code::state_diverged, "state_diverged", kDataLoss},
+    error_entry{error_code::stale_fence, "stale_fence", kAborted},
+    error_entry{error_code::in_use, "in_use", kFailedPrecondition},
+    error_entry{error_code::capacity_exceeded, "capacity_exceeded", kResourceExhausted},
     error_entry{error_code::shutting_down, "shutting_down", kUnavailable},
     error_entry{error_code::internal_error, "internal_error", kInternal},
 };
