placement: add public headers

The daemon is written at the same time and needs the interface first. Headers only: nothing is implemented or tested yet.

--- /dev/null
+++ b/include/lovagebeam/placement/types.h
@@ -0,0 +1,103 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/placement/reasons.h"
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::placement {
+
+using accelerators = base::strong_number<struct accelerators_tag, std::int64_t>;
+using rack_id = base::string_id<struct rack_id_tag>;
+
+/// Identifies one decision that has to be committed. Unique within one scheduler object.
+using decision_id = base::strong_number<struct decision_id_tag>;
+
+/// An amount of each kind of capacity. Amounts are never negative in the public interface.
+struct resources {
+    base::millicores cpu{};
+    base::bytes memory{};
+    accelerators devices{};
+
+    friend bool operator==(const resources&, const resources&) = default;
+    resources& operator+=(const resources& other);
+    resources& operator-=(const resources& other);
+    friend resources operator+(resources left, const resources& right) { return left += right; }
+    friend resources operator-(resources left, const resources& right) { return left -= right; }
+
+    /// Tells whether this amount is at most `other` in every kind.
+    [[nodiscard]] bool fits_in(const resources& other) const
+    {
+        return cpu <= other.cpu && memory <= other.memory && devices <= other.devices;
+    }
+};
+
+/// The policy that places a job.
+enum class job_kind { service, batch, gang, urgent };
+
+/// How a task ended, as reported by its worker.
+enum class task_outcome {
+    completed,
+    failed,
+    checkpointed, ///< ended after it saved its progress
+    stopped,      ///< ended at our request without saving its progress
+    refused,      ///< refused by the worker before the start, so it did not run
+};
+
+/// The state of a job as a whole.
+enum class job_state { waiting, running, completed, failed, cancelled, not_run, unknown, refused };
+
+std::string_view name_of(job_kind kind);
+std::string_view name_of(task_outcome outcome);
+std::string_view name_of(job_state state);
+
+/// A job as submitted. Sizes and run time are what the submitter declares; they may be far off.
+struct job_spec {
+    base::job_id id;
+    base::team_id team;
+    /// Kind of command; jobs of the same team and command share the correction of their sizes.
+    std::string command;
+    job_kind kind = job_kind::batch;
+    std::uint32_t tasks = 1;
+    /// Declared size of each task.
+    resources size;
+    base::duration run_time{};
+    /// Time by which the job is to be complete; nothing for work without a deadline.
+    std::optional<base::time_point> deadline;
+    /// False for work that may run at most once.
+    bool repeatable = true;
+    bool can_checkpoint = true;
+    bool can_throttle = true;
+};
+
+/// Share and upper limit of a team. A limit that is not set is unlimited.
+struct team_settings {
+    std::int64_t share = 1;
+    std::optional<base::millicores> limit_cpu;
+    std::optional<base::bytes> limit_memory;
+    std::optional<accelerators> limit_devices;
+};
+
+/// One task at its worker. Every placement of a task has its own `task`, so that late and repeated
+/// reports about an earlier placement are recognised.
+struct placed_task {
+    base::task_id task;
+    base::job_id job;
+    std::uint32_t index = 0; ///< position within the job, from 0
+    base::worker_id worker;
+    resources size; ///< booked size, corrected from reports; the worker enforces it
+};
+
+/// What a worker says about one task that it holds.
+struct task_report {
+    base::task_id task;
+    /// Size and team, where the worker knows them. A task that nobody knows and whose size is not
+    /// reported closes its worker to new work until it has ended.
+    std::optional<resources> size;
+    std::optional<base::team_id> team;
+};
+
+} // namespace lovagebeam::placement
