Add the replicated state machine

Cause: the cell needs one deterministic place for configuration, keys, membership, jobs, placements and intents. Ruled out: a digest over the whole state at each call (cost grows with the state) and a running hash of the commands (would not notice a replica that applies them differently).

--- /dev/null
+++ b/src/state/snapshot.cpp
@@ -0,0 +1,223 @@
+#include "snapshot.h"
+
+#include "checks.h"
+#include "handlers.h"
+
+#include <xxhash.h>
+
+#include <cstring>
+
+namespace lovagebeam::state {
+namespace {
+
+using base::error_code;
+using base::make_error;
+
+// Frame: 8 bytes magic, 8 bytes length of the payload (little endian), the payload, 16 bytes
+// XXH3-128 of everything before.
+constexpr std::string_view magic = "LBSTATE1";
+constexpr std::size_t length_size = 8;
+constexpr std::size_t checksum_size = 16;
+constexpr std::size_t head_size = magic.size() + length_size;
+constexpr std::uint32_t snapshot_format = 1;
+
+absl::Status corrupt(const std::string& what)
+{
+    return make_error(error_code::snapshot_corrupt, "snapshot: " + what);
+}
+
+std::string length_bytes(std::uint64_t length)
+{
+    std::string bytes(length_size, '\0');
+    for (std::size_t i = 0; i < length_size; ++i) {
+        bytes[i] = static_cast<char>((length >> (8 * i)) & 0xffU);
+    }
+    return bytes;
+}
+
+std::string checksum_of(std::string_view bytes)
+{
+    XXH128_canonical_t canonical;
+    XXH128_canonicalFromHash(&canonical, XXH3_128bits(bytes.data(), bytes.size()));
+    std::string result(checksum_size, '\0');
+    std::memcpy(result.data(), canonical.digest, checksum_size);
+    return result;
+}
+
+absl::StatusOr<std::string_view> payload_of(std::string_view bytes)
+{
+    if (bytes.size() < head_size + checksum_size) {
+        return corrupt("only " + std::to_string(bytes.size()) + " bytes");
+    }
+    const std::string_view checked = bytes.substr(0, bytes.size() - checksum_size);
+    if (checksum_of(checked) != bytes.substr(checked.size())) {
+        return corrupt("wrong checksum");
+    }
+    const std::string_view payload = checked.substr(head_size);
+    if (!checked.starts_with(magic) ||
+        checked.substr(magic.size(), length_size) != length_bytes(payload.size())) {
+        return corrupt("wrong magic or length");
+    }
+    return payload;
+}
+
+template <class Map, class Messages>
+void add_all(const Map& map, Messages* messages)
+{
+    messages->Reserve(static_cast<int>(map.size()));
+    for (const auto& [key, slot] : map.slots()) {
+        *messages->Add() = to_proto(slot.value);
+    }
+}
+
+/// Reads every record of `messages` and hands it to `put`; false when one isn't valid.
+template <class Messages, class Put>
+bool read_all(const Messages& messages, Put put)
+{
+    for (const auto& message : messages) {
+        auto value = from_proto(message);
+        if constexpr (requires { value.has_value(); }) {
+            if (!value || !put(std::move(*value))) {
+                return false;
+            }
+        }
+        else if (!put(std::move(value))) {
+            return false;
+        }
+    }
+    return true;
+}
+
+bool read_jobs(cell_data& data, const pb::Snapshot& message)
+{
+    return read_all(message.jobs(),
+                    [&data](job value) {
+                        if (!check_spec(value.spec, data.limits).ok()) {
+                            return false;
+                        }
+                        data.put_job(std::move(value));
+                        return true;
+                    }) &&
+           read_all(message.tasks(), [&data](task value) {
+               if (data.jobs.find(value.job) == nullptr) {
+                   return false;
+               }
+               data.put_task(std::move(value));
+               return true;
+           });
+}
+
+/// Wraps a put function for records that need no check.
+template <class Value>
+auto always(cell_data& data, void (cell_data::*put)(Value))
+{
+    return [&data, put](Value value) {
+        (data.*put)(std::move(value));
+        return true;
+    };
+}
+
+bool read_records(cell_data& data, const pb::Snapshot& message)
+{
+    const auto put_target = [&data](target value) {
+        const base::target_id id = value.id;
+        data.targets.put(id, std::move(value));
+        return true;
+    };
+    const auto put_worker = [&data](worker value) {
+        const base::worker_id id = value.id;
+        data.workers.put(id, std::move(value));
+        return true;
+    };
+    return read_all(message.keys(), always(data, &cell_data::put_key)) &&
+           read_all(message.operations(), always(data, &cell_data::put_operation)) &&
+           read_all(message.audit(), always(data, &cell_data::put_audit)) &&
+           read_all(message.targets(), put_target) && read_all(message.workers(), put_worker) &&
+           read_jobs(data, message) &&
+           read_all(message.intents(), always(data, &cell_data::put_intent)) &&
+           read_all(message.results(), always(data, &cell_data::put_result));
+}
+
+void write_header(const cell_data& data, pb::Snapshot& message)
+{
+    message.set_format(snapshot_format);
+    message.set_index(data.index);
+    message.set_time_ms(to_ms(data.time));
+    message.set_digest(data.digest());
+    *message.mutable_configuration() = to_proto(data.config);
+    message.set_version(data.version.value());
+    message.set_epoch(data.epoch.value());
+    for (const member& one : data.members) {
+        *message.add_members() = to_proto(one);
+    }
+    message.set_next_audit(data.next_audit);
+}
+
+void read_header(cell_data& data, const pb::Snapshot& message)
+{
+    data.index = message.index();
+    data.time = from_ms(message.time_ms());
+    data.set_config(from_proto(message.configuration()));
+    data.version = base::config_version{message.version()};
+    data.epoch = base::epoch{message.epoch()};
+    std::vector<member> members;
+    for (const pb::Member& one : message.members()) {
+        members.push_back(from_proto(one));
+    }
+    data.set_members(std::move(members));
+    data.next_audit = message.next_audit();
+}
+
+} // namespace
+
+std::string frame_snapshot(std::string_view payload)
+{
+    std::string bytes;
+    bytes.reserve(head_size + payload.size() + checksum_size);
+    bytes.append(magic).append(length_bytes(payload.size())).append(payload);
+    return bytes += checksum_of(bytes);
+}
+
+std::string encode_data(const cell_data& data)
+{
+    pb::Snapshot message;
+    write_header(data, message);
+    add_all(data.keys, message.mutable_keys());
+    add_all(data.operations, message.mutable_operations());
+    add_all(data.audit, message.mutable_audit());
+    add_all(data.targets, message.mutable_targets());
+    add_all(data.workers, message.mutable_workers());
+    add_all(data.jobs, message.mutable_jobs());
+    add_all(data.tasks, message.mutable_tasks());
+    add_all(data.intents, message.mutable_intents());
+    add_all(data.results, message.mutable_results());
+    return frame_snapshot(message.SerializeAsString());
+}
+
+absl::StatusOr<std::unique_ptr<cell_data>> decode_data(std::string_view bytes,
+                                                       const state_limits& limits)
+{
+    const auto payload = payload_of(bytes);
+    if (!payload.ok()) {
+        return payload.status();
+    }
+    pb::Snapshot message;
+    if (payload->size() > INT32_MAX ||
+        !message.ParseFromArray(payload->data(), static_cast<int>(payload->size()))) {
+        return corrupt("not a message");
+    }
+    if (message.format() != snapshot_format) {
+        return corrupt("unknown format " + std::to_string(message.format()));
+    }
+    auto data = std::make_unique<cell_data>(limits);
+    read_header(*data, message);
+    if (!read_records(*data, message)) {
+        return corrupt("a record is not valid");
+    }
+    if (data->digest() != message.digest()) {
+        return corrupt("the content does not give the stored digest");
+    }
+    return data;
+}
+
+} // namespace lovagebeam::state
