Add daemon, operators' command and operators' protocol

Cause: the packages need one process that connects them. Change: a decisions thread that owns consensus, state, routing and placement; a storage thread; links to peers, targets, workers, callers and operators; member leases and membership epochs; lovagebeamd and lovagebeamctl. Ruled out: one thread for each decision package: they share the state machine and would need locks or copies of it.

--- a/include/lovagebeam/base/bounded_ring.h
+++ b/include/lovagebeam/base/bounded_ring.h
@@ -19,12 +19,13 @@
     explicit bounded_ring(std::size_t capacity) : m_slots(capacity) {}
 
     /// Appends `item` and returns true, or returns false and leaves `item` as it is when the ring
-    /// is full or closed.
-    bool try_push(T&& item)
+    /// is closed or has no more than `reserved` free places, which are then left to producers that
+    /// reserve less.
+    bool try_push(T&& item, std::size_t reserved = 0)
     {
         {
             const std::lock_guard lock{m_mutex};
-            if (m_closed || m_size == m_slots.size()) {
+            if (m_closed || m_size + reserved >= m_slots.size()) {
                 return false;
             }
             m_slots[(m_head + m_size) % m_slots.size()].emplace(std::move(item));
@@ -61,6 +62,12 @@
         m_not_empty.notify_all();
     }
 
+    [[nodiscard]] bool is_closed() const
+    {
+        const std::lock_guard lock{m_mutex};
+        return m_closed;
+    }
+
     [[nodiscard]] std::size_t size() const
     {
         const std::lock_guard lock{m_mutex};
--- /dev/null
+++ b/programs/lovagebeamctl/commands.cpp
@@ -0,0 +1,289 @@
+#include "commands.h"
+
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/operators/protocol.h"
+#include "lovagebeam/targets/protocol.h"
+
+#include "config_diff.h"
+#include "table.h"
+
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <array>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+#include <string_view>
+
+namespace lovagebeam::ctl {
+namespace {
+
+namespace json = boost::json;
+using base::error_code;
+using base::make_error;
+using words = std::vector<std::string>;
+
+struct list_command {
+    std::string_view name;
+    std::string_view path;
+    std::string_view field;
+    std::string_view help;
+};
+
+constexpr std::array list_table{
+    list_command{"hosts", "/v1/hosts", "hosts", "hosts of the present membership epoch"},
+    list_command{"targets", "/v1/targets", "targets", "runners that announced themselves"},
+    list_command{"workers", "/v1/workers", "workers", "workers with their capacity and bookings"},
+    list_command{"teams", "/v1/teams", "teams", "teams with their shares and upper limits"},
+    list_command{"jobs", "/v1/all-jobs", "jobs", "jobs of all teams"},
+    list_command{"audit", "/v1/audit", "audit", "the audit trail"},
+};
+
+absl::Status usage(const std::string& text)
+{
+    return make_error(error_code::invalid_request, text + "; see --help");
+}
+
+std::string random_operation()
+{
+    std::random_device device;
+    std::ostringstream out;
+    out << "op-" << std::hex << device() << device();
+    return out.str();
+}
+
+void print(const call_options& options, const json::object& answer, std::string_view field)
+{
+    if (options.as_json) {
+        std::cout << json::serialize(answer) << '\n';
+        return;
+    }
+    const auto* const rows = answer.if_contains({field.data(), field.size()});
+    if (rows != nullptr && rows->is_array()) {
+        std::cout << render_table(rows->get_array());
+        return;
+    }
+    for (const auto& entry : answer) {
+        const auto& value = entry.value();
+        std::cout << entry.key() << ": "
+                  << (value.is_string() ? std::string{value.get_string()} : json::serialize(value))
+                  << '\n';
+    }
+}
+
+absl::Status show(api_client& client, const call_options& options, const std::string& path,
+                  std::string_view field)
+{
+    const auto answer = client.call("GET", path);
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    print(options, *answer, field);
+    return absl::OkStatus();
+}
+
+absl::StatusOr<operators::change_call> make_call(api_client& client, const call_options& options)
+{
+    if (options.who.empty() || options.why.empty()) {
+        return usage("a change needs --who and --why");
+    }
+    operators::change_call call;
+    call.who = options.who;
+    call.why = options.why;
+    call.operation =
+        base::operation_id{options.operation.empty() ? random_operation() : options.operation};
+    if (options.expected_version >= 0) {
+        call.expected = base::config_version{static_cast<std::uint64_t>(options.expected_version)};
+        return call;
+    }
+    const auto config = client.call("GET", "/v1/config");
+    if (!config.ok()) {
+        return config.status();
+    }
+    call.expected = base::config_version{config->at("version").to_number<std::uint64_t>()};
+    return call;
+}
+
+absl::Status send_change(api_client& client, const call_options& options, const std::string& method,
+                         const std::string& path, const std::string& body)
+{
+    const auto answer = client.call(method, path, body);
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    print(options, *answer, "");
+    return absl::OkStatus();
+}
+
+absl::StatusOr<state::configuration> read_document(const std::string& path)
+{
+    std::ifstream file{path};
+    std::ostringstream text;
+    text << file.rdbuf();
+    if (!file) {
+        return usage("can't read " + path);
+    }
+    return operators::decode_configuration(text.str());
+}
+
+absl::StatusOr<state::configuration> present_document(api_client& client)
+{
+    auto answer = client.call("GET", "/v1/config");
+    if (!answer.ok()) {
+        return answer.status();
+    }
+    answer->erase("version");
+    return operators::decode_configuration(json::serialize(*answer));
+}
+
+absl::Status apply_document(api_client& client, const call_options& options,
+                            const state::configuration& document)
+{
+    const auto call = make_call(client, options);
+    if (!call.ok()) {
+        return call.status();
+    }
+    return send_change(client, options, "PUT", "/v1/config",
+                       operators::encode(operators::config_change{*call, document}));
+}
+
+absl::Status diff_document(api_client& client, const state::configuration& wanted)
+{
+    const auto present = present_document(client);
+    if (!present.ok()) {
+        return present.status();
+    }
+    std::cout << diff_configurations(*present, wanted);
+    return absl::OkStatus();
+}
+
+absl::Status config_command(api_client& client, const call_options& options, const words& words)
+{
+    if (words.size() == 2 && words[1] == "show") {
+        return show(client, options, "/v1/config", "");
+    }
+    if (words.size() == 3 && (words[1] == "apply" || words[1] == "diff")) {
+        const auto document = read_document(words[2]);
+        if (!document.ok()) {
+            return document.status();
+        }
+        return words[1] == "apply" ? apply_document(client, options, *document)
+                                   : diff_document(client, *document);
+    }
+    return usage("expected: config show | config diff FILE | config apply FILE");
+}
+
+absl::Status keys_command(api_client& client, const call_options& options, const words& words)
+{
+    if (words.size() == 2 && words[1] == "list") {
+        return show(client, options, "/v1/keys", "keys");
+    }
+    if (words.size() != 3 || (words[1] != "give" && words[1] != "withdraw")) {
+        return usage("expected: keys list | keys give TEAM | keys withdraw KEY_ID");
+    }
+    const auto call = make_call(client, options);
+    if (!call.ok()) {
+        return call.status();
+    }
+    if (words[1] == "give") {
+        return send_change(client, options, "POST", "/v1/keys",
+                           operators::encode(operators::key_grant{*call, base::team_id{words[2]}}));
+    }
+    return send_change(client, options, "DELETE", "/v1/keys/" + targets::percent_encode(words[2]),
+                       operators::encode(*call));
+}
+
+// Draining is an exception like any other, so that it has a reason and is in the audit trail.
+absl::Status drain_command(api_client& client, const call_options& options, const words& words)
+{
+    const bool is_drain = words[0] == "drain";
+    if (words.size() != 3 || (words[1] != "host" && words[1] != "target")) {
+        return usage("expected: " + words[0] + " host|target ID");
+    }
+    auto document = present_document(client);
+    if (!document.ok()) {
+        return document.status();
+    }
+    const std::string scope = words[1] + ":" + words[2];
+    auto found = std::ranges::find(document->exceptions, scope, &state::config_exception::scope);
+    if (found == document->exceptions.end()) {
+        if (!is_drain) {
+            return make_error(error_code::not_found, scope + " isn't draining");
+        }
+        document->exceptions.push_back({scope, {}, options.why});
+        found = std::prev(document->exceptions.end());
+    }
+    found->set.draining = is_drain ? std::optional{true} : std::nullopt;
+    if (found->set == state::settings_set{}) {
+        document->exceptions.erase(found);
+    }
+    return apply_document(client, options, *document);
+}
+
+absl::Status explain_command(api_client& client, const call_options& options, const words& words)
+{
+    if (words.size() == 3 && words[1] == "job") {
+        return show(client, options, "/v1/explain/jobs/" + targets::percent_encode(words[2]), "");
+    }
+    if (words.size() == 2 && words[1] == "teams") {
+        const auto text = client.call_text("GET", "/v1/explain/teams");
+        if (!text.ok()) {
+            return text.status();
+        }
+        const auto rows = json::parse(*text);
+        std::cout << (options.as_json ? *text + "\n" : render_table(rows.as_array()));
+        return absl::OkStatus();
+    }
+    return usage("expected: explain job ID | explain teams");
+}
+
+} // namespace
+
+std::string command_help()
+{
+    std::string out = "Commands:\n"
+                      "  config show             the configuration in force\n"
+                      "  config diff FILE        what applying FILE would change\n"
+                      "  config apply FILE       replace defaults and exceptions\n"
+                      "  keys list               team keys, without their secrets\n"
+                      "  keys give TEAM          make a key; it is shown this once\n"
+                      "  keys withdraw KEY_ID    make a key useless\n"
+                      "  drain host|target ID    give it no new work\n"
+                      "  undrain host|target ID  take that back\n"
+                      "  explain job ID          why a job is where it is\n"
+                      "  explain teams           what each team runs beside its share\n";
+    for (const auto& command : list_table) {
+        out += "  ";
+        out += command.name;
+        out.append(24 - command.name.size(), ' ');
+        out += command.help;
+        out += '\n';
+    }
+    return out;
+}
+
+absl::Status run_command(api_client& client, const call_options& options, const words& words)
+{
+    const std::string& name = words.front();
+    const auto* const list = std::ranges::find(list_table, name, &list_command::name);
+    if (list != list_table.end() && words.size() == 1) {
+        return show(client, options, std::string{list->path}, list->field);
+    }
+    if (name == "config") {
+        return config_command(client, options, words);
+    }
+    if (name == "keys") {
+        return keys_command(client, options, words);
+    }
+    if (name == "drain" || name == "undrain") {
+        return drain_command(client, options, words);
+    }
+    if (name == "explain") {
+        return explain_command(client, options, words);
+    }
+    return usage("unknown command \"" + name + "\"");
+}
+
+} // namespace lovagebeam::ctl
--- /dev/null
+++ b/src/daemon/decision_loop.cpp
@@ -0,0 +1,61 @@
+#include "decision_loop.h"
+
+#include <thread>
+#include <utility>
+
+namespace lovagebeam::daemon {
+namespace {
+
+constexpr std::size_t ring_capacity = 65'536;
+constexpr std::size_t batch_limit = 512;
+constexpr std::chrono::milliseconds tick_interval{10};
+
+} // namespace
+
+decision_loop::decision_loop() : m_ring{ring_capacity} {}
+
+bool decision_loop::try_post(task&& work)
+{
+    return m_ring.try_push(std::move(work), ring_capacity / 2);
+}
+
+void decision_loop::post_completion(task work)
+{
+    while (!m_ring.try_push(std::move(work))) {
+        if (m_stopping) {
+            return;
+        }
+        std::this_thread::sleep_for(std::chrono::microseconds{100});
+    }
+}
+
+void decision_loop::run(const handlers& what)
+{
+    auto next_tick = std::chrono::steady_clock::now();
+    while (!m_stopping) {
+        run_batch(next_tick);
+        const auto now = std::chrono::steady_clock::now();
+        if (now >= next_tick) {
+            what.tick(now);
+            next_tick = now + tick_interval;
+        }
+        what.after_batch(std::chrono::steady_clock::now());
+    }
+}
+
+void decision_loop::run_batch(base::time_point next_tick)
+{
+    auto next = m_ring.pop_until(next_tick);
+    for (std::size_t count = 0; next && count < batch_limit; ++count) {
+        (*next)(std::chrono::steady_clock::now());
+        next = count + 1 < batch_limit ? m_ring.try_pop() : std::nullopt;
+    }
+}
+
+void decision_loop::stop()
+{
+    m_stopping = true;
+    m_ring.close();
+}
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/log_storage.cpp
@@ -0,0 +1,192 @@
+#include "log_storage.h"
+
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include "memory_writer.h"
+#include "storage_thread.h"
+
+#include <algorithm>
+#include <chrono>
+#include <limits>
+#include <sodium.h>
+#include <utility>
+#include <vector>
+#include <xxhash.h>
+
+namespace lovagebeam::daemon {
+namespace {
+
+using base::error_code;
+using base::make_error;
+using consensus::member;
+using telemetry::log_event;
+using telemetry::severity;
+
+std::uint64_t hash_of(const std::string& text)
+{
+    return std::max<std::uint64_t>(1, XXH3_64bits(text.data(), text.size()));
+}
+
+std::vector<base::node_id> first_voters(const settings::daemon_settings& settings)
+{
+    std::vector<base::node_id> result;
+    for (const auto& listed : settings.members) {
+        if (listed.role == settings::member_role::voter) {
+            result.push_back(listed.node);
+        }
+    }
+    std::ranges::sort(result);
+    return result;
+}
+
+// All first voters must derive the same group, so it follows from what their settings share.
+std::string group_text(const settings::daemon_settings& settings)
+{
+    std::string text = "group";
+    for (const auto& node : first_voters(settings)) {
+        text += ' ' + node.str();
+    }
+    return text;
+}
+
+consensus::incarnation first_incarnation(const settings::daemon_settings& settings,
+                                         const base::node_id& node)
+{
+    return consensus::incarnation{hash_of(group_text(settings) + " member " + node.str())};
+}
+
+consensus::group_config first_config(const settings::daemon_settings& settings)
+{
+    consensus::group_config config;
+    for (const auto& node : first_voters(settings)) {
+        config.voters.push_back({node, first_incarnation(settings, node)});
+    }
+    return config;
+}
+
+consensus::incarnation random_incarnation()
+{
+    std::uint64_t number = 0;
+    while (number == 0) {
+        randombytes_buf(&number, sizeof number);
+    }
+    return consensus::incarnation{number};
+}
+
+absl::StatusOr<storage::recovered> open_store(const settings::daemon_settings& settings,
+                                              storage::file_system& files,
+                                              consensus::incarnation fresh)
+{
+    storage::store_options options;
+    options.fresh_incarnation = fresh;
+    return storage::log_store::open(files, settings.data_folder, options);
+}
+
+// Reads the state from the snapshot, if there is one.
+absl::Status restore_state(storage::recovered& found, opened_log& out)
+{
+    if (found.snapshot.index.value() == 0) {
+        return absl::OkStatus();
+    }
+    auto bytes = found.store->read_snapshot(
+        found.snapshot.index, 0, static_cast<std::size_t>(found.snapshot.size.value()));
+    if (!bytes.ok()) {
+        return bytes.status();
+    }
+    auto decoded = state::cell_state::decode_snapshot(*bytes);
+    if (!decoded.ok()) {
+        return decoded.status();
+    }
+    out.state = *std::move(decoded);
+    out.snapshot = found.snapshot;
+    out.snapshot_bytes = std::make_shared<const std::string>(*std::move(bytes));
+    return absl::OkStatus();
+}
+
+absl::StatusOr<opened_log> build(consensus::replica_builder builder, opened_log out)
+{
+    auto replica = builder.build(std::chrono::steady_clock::now());
+    if (!replica.ok()) {
+        return replica.status();
+    }
+    out.replica = *std::move(replica);
+    return out;
+}
+
+absl::StatusOr<opened_log> open_voter(const settings::daemon_settings& settings,
+                                      storage::file_system& files, std::uint64_t run)
+{
+    auto found = open_store(settings, files, random_incarnation());
+    if (!found.ok()) {
+        return found.status();
+    }
+    opened_log out;
+    if (auto status = restore_state(*found, out); !status.ok()) {
+        return status;
+    }
+    out.identity = {settings.node, found->incarnation};
+    const bool is_first = found->incarnation == first_incarnation(settings, settings.node);
+    if (is_first && found->snapshot.index.value() == 0) {
+        out.snapshot.config = first_config(settings);
+        found->hard_state.group = consensus::group_id{hash_of(group_text(settings))};
+    }
+    log_event{severity::info, "log_opened"}
+        .with("incarnation", found->incarnation.value())
+        .with("new", found->is_new)
+        .with("snapshot", found->snapshot.index.value())
+        .with("entries", found->entries.size())
+        .with("cut_bytes", found->cut_bytes)
+        .write();
+    consensus::replica_builder builder{out.identity};
+    builder.state(found->hard_state)
+        .snapshot(out.snapshot)
+        .entries(std::move(found->entries))
+        .random(base::random_source{run});
+    out.store = std::move(found->store);
+    return build(std::move(builder), std::move(out));
+}
+
+} // namespace
+
+absl::StatusOr<opened_log> open_log(const settings::daemon_settings& settings,
+                                    storage::file_system& files, std::uint64_t run)
+{
+    if (!settings.data_folder.empty()) {
+        return open_voter(settings, files, run);
+    }
+    opened_log out;
+    out.identity = {settings.node, random_incarnation()};
+    consensus::replica_builder builder{out.identity};
+    builder.durable(false).random(base::random_source{run});
+    return build(std::move(builder), std::move(out));
+}
+
+absl::Status init_group(const settings::daemon_settings& settings, storage::file_system& files)
+{
+    if (settings.data_folder.empty()) {
+        return make_error(error_code::invalid_settings,
+                          settings.node.str() + " isn't a voter and has no data folder");
+    }
+    const auto found =
+        open_store(settings, files, first_incarnation(settings, settings.node));
+    if (!found.ok()) {
+        return found.status();
+    }
+    if (!found->is_new) {
+        return make_error(error_code::already_exists,
+                          settings.data_folder + " belongs to a member of a group already");
+    }
+    return absl::OkStatus();
+}
+
+std::unique_ptr<log_writer> make_writer(std::unique_ptr<storage::log_store> store,
+                                        decision_loop& loop)
+{
+    if (store) {
+        return std::make_unique<storage_thread>(std::move(store), loop);
+    }
+    return std::make_unique<memory_writer>(loop);
+}
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/memory_writer.h
@@ -0,0 +1,30 @@
+#pragma once
+
+#include "decision_loop.h"
+#include "ports.h"
+
+#include <utility>
+
+namespace lovagebeam::daemon {
+
+/// The log writer of a learner, which keeps nothing on disk: everything is done at once.
+class memory_writer : public log_writer {
+public:
+    explicit memory_writer(decision_loop& loop) : m_loop{loop} {}
+
+    void persist(consensus::persist_request, done when_durable) override
+    {
+        m_loop.post_completion(std::move(when_durable));
+    }
+    void save_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>, bool,
+                       done when_durable) override
+    {
+        m_loop.post_completion(std::move(when_durable));
+    }
+    void compact_to(consensus::log_index) override {}
+
+private:
+    decision_loop& m_loop;
+};
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/peer_links.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include "lovagebeam/peers/peer_network.h"
+#include "lovagebeam/settings/daemon_settings.h"
+#include "lovagebeam/telemetry/metrics.h"
+
+#include "cluster.pb.h"
+#include "decision_loop.h"
+#include "ports.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lovagebeam::daemon {
+
+/// Connects the peer network with the decisions thread. Incoming messages beyond the bound of the
+/// ring are dropped, as if the network had lost them.
+class peer_links : public peer_sender, private peers::peer_handler {
+public:
+    struct receivers {
+        /// Called on the decisions thread.
+        std::function<void(base::time_point, const base::node_id&, proto::ClusterMessage&)> cluster;
+        std::function<void(base::time_point, const base::node_id&, std::string)> routing;
+    };
+
+    peer_links(const settings::daemon_settings& settings, std::string secret, std::uint64_t seed,
+               decision_loop& loop, telemetry::metrics_registry& metrics);
+
+    /// Listens and dials the other hosts.
+    absl::Status start(receivers to);
+    void stop();
+
+    void send(const base::node_id& to, peers::channel which, std::string bytes) override;
+
+private:
+    void on_message(const base::node_id& from, peers::channel which, std::string bytes) override;
+    void on_state(const base::node_id& peer, peers::connection_state state) override;
+
+    decision_loop& m_loop;
+    telemetry::counter& m_dropped;
+    telemetry::counter& m_unsent;
+    receivers m_receivers;
+    absl::StatusOr<std::unique_ptr<peers::peer_network>> m_network;
+};
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/ports.h
@@ -0,0 +1,47 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/consensus/effects.h"
+#include "lovagebeam/consensus/types.h"
+#include "lovagebeam/peers/peer_network.h"
+
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace lovagebeam::daemon {
+
+/// Sends bytes to other hosts. Messages may be lost.
+class peer_sender {
+public:
+    peer_sender() = default;
+    peer_sender(const peer_sender&) = delete;
+    peer_sender& operator=(const peer_sender&) = delete;
+    virtual ~peer_sender() = default;
+
+    virtual void send(const base::node_id& to, peers::channel which, std::string bytes) = 0;
+};
+
+/// Makes the log and snapshots durable. Each call is answered on the decisions thread, in order.
+class log_writer {
+public:
+    log_writer() = default;
+    log_writer(const log_writer&) = delete;
+    log_writer& operator=(const log_writer&) = delete;
+    virtual ~log_writer() = default;
+
+    using done = std::function<void(base::time_point)>;
+
+    virtual void persist(consensus::persist_request request, done when_durable) = 0;
+
+    /// Saves a snapshot. `replaces_log` is true when it came from another host, so that the stored
+    /// log no longer fits and is dropped.
+    virtual void save_snapshot(consensus::snapshot_meta meta,
+                               std::shared_ptr<const std::string> bytes, bool replaces_log,
+                               done when_durable) = 0;
+
+    /// Drops the stored log up to `index`, which a snapshot covers.
+    virtual void compact_to(consensus::log_index index) = 0;
+};
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/replication.h
@@ -0,0 +1,157 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/consensus/replica.h"
+#include "lovagebeam/state/cell_state.h"
+
+#include "cluster.pb.h"
+#include "ports.h"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::daemon {
+
+/// What other parts learn from the replicated state. Called on the decisions thread.
+class state_listener {
+public:
+    state_listener() = default;
+    state_listener(const state_listener&) = delete;
+    state_listener& operator=(const state_listener&) = delete;
+    virtual ~state_listener() = default;
+
+    /// `command` was applied with `result`.
+    virtual void on_applied(base::time_point now, const state::command& command,
+                            const state::apply_result& result) = 0;
+    /// The whole state was replaced by a snapshot.
+    virtual void on_replaced(base::time_point now) = 0;
+    virtual void on_role(base::time_point now, const consensus::role_change& change) = 0;
+};
+
+/// One host's copy of the replicated state: drives the consensus replica, applies committed
+/// commands, and carries proposals and linearizable reads to the leader. Not thread-safe; lives on
+/// the decisions thread.
+class replication {
+public:
+    using propose_done = std::function<void(absl::StatusOr<state::apply_result>)>;
+    using read_done = std::function<void(absl::Status)>;
+
+    struct parts {
+        base::node_id self;
+        std::unique_ptr<consensus::replica> replica;
+        state::cell_state state;
+        consensus::snapshot_meta snapshot;
+        std::shared_ptr<const std::string> snapshot_bytes;
+        peer_sender* sender = nullptr;
+        log_writer* writer = nullptr;
+        state_listener* listener = nullptr;
+    };
+
+    explicit replication(parts initial);
+
+    void tick(base::time_point now);
+
+    /// Sends the proposals and reads that came in since the last call.
+    void flush(base::time_point now);
+
+    void on_consensus(base::time_point now, consensus::proto::ConsensusMessage message);
+    void on_propose(base::time_point now, const base::node_id& from, const proto::Propose& message);
+    void on_propose_result(const proto::ProposeResult& message);
+    void on_read_index(const base::node_id& from, const proto::ReadIndex& message);
+    void on_read_index_result(const proto::ReadIndexResult& message);
+
+    /// Commits `body` through the leader, wherever it is, and calls `done` with the result of its
+    /// application. The command is proposed again until `deadline`, when `done` gets `timed_out`:
+    /// it may then still be applied.
+    void propose(base::time_point now, state::command body, base::time_point deadline,
+                 propose_done done);
+
+    /// Calls `done` once the local state holds everything that was committed before this call.
+    void read(base::time_point now, base::time_point deadline, read_done done);
+
+    /// Asks the replica for a change of the group's members. Only on the leader; errors are left to
+    /// the next attempt.
+    void change_membership(base::time_point now, consensus::membership_change change);
+
+    /// Hands leadership over, if this host has it.
+    void resign(base::time_point now);
+
+    [[nodiscard]] const state::cell_state& state() const { return m_state; }
+    [[nodiscard]] const consensus::replica& replica() const { return *m_replica; }
+    [[nodiscard]] const consensus::contact_times& contact() const { return m_contact; }
+    [[nodiscard]] bool is_leader() const;
+    /// Tells whether this host leads, its lease is valid at `now`, and it has applied everything
+    /// that earlier leaders committed.
+    [[nodiscard]] bool is_established_leader(base::time_point now) const;
+    [[nodiscard]] std::uint64_t applied_index() const { return m_applied.value(); }
+
+private:
+    struct pending_proposal {
+        std::string command;
+        base::time_point deadline;
+        base::time_point sent;
+        propose_done done;
+        /// Set for a proposal that another host sent here.
+        bool is_remote = false;
+    };
+    struct pending_read {
+        base::time_point deadline;
+        base::time_point sent;
+        std::optional<std::uint64_t> index;
+        read_done done;
+    };
+    struct accepted_proposal {
+        consensus::request_tag tag;
+        consensus::term term;
+    };
+
+    void step(base::time_point now, consensus::event event);
+    void apply_effects(base::time_point now, consensus::effects effects);
+    void send(const base::node_id& to, const proto::ClusterMessage& message,
+              peers::channel which = peers::channel::consensus);
+    void apply_entry(base::time_point now, const consensus::log_entry& entry);
+    void finish_accepted(const consensus::log_entry& entry, const state::apply_result& result);
+    void on_proposal(const consensus::proposal_result& result);
+    void on_read(const consensus::read_result& result);
+    void finish(consensus::request_tag tag, absl::StatusOr<state::apply_result> result);
+    void finish_reads();
+    void send_again(base::time_point now);
+    void submit(base::time_point now, consensus::request_tag tag, pending_proposal& pending);
+    void submit_read(base::time_point now, consensus::request_tag tag, pending_read& pending);
+    void expire(base::time_point now);
+    void save_snapshot_if_due(base::time_point now);
+    void on_snapshot_effect(base::time_point now, consensus::snapshot_effect effect);
+    void store_chunk(base::time_point now, consensus::store_snapshot_chunk chunk);
+    void install_snapshot(base::time_point now, const consensus::snapshot_meta& meta);
+    consensus::request_tag next_tag();
+
+    base::node_id m_self;
+    std::unique_ptr<consensus::replica> m_replica;
+    state::cell_state m_state;
+    consensus::log_index m_applied;
+    consensus::term m_applied_term;
+    consensus::snapshot_meta m_snapshot;
+    std::shared_ptr<const std::string> m_snapshot_bytes;
+    bool m_snapshot_in_progress = false;
+    std::string m_incoming_snapshot;
+    peer_sender& m_sender;
+    log_writer& m_writer;
+    state_listener& m_listener;
+    consensus::contact_times m_contact;
+    std::uint64_t m_last_tag = 0;
+    std::map<consensus::request_tag, pending_proposal> m_proposals;
+    std::map<consensus::request_tag, pending_read> m_reads;
+    std::map<consensus::log_index, accepted_proposal> m_accepted;
+    std::vector<consensus::proposal> m_local_proposals;
+    std::vector<consensus::request_tag> m_local_reads;
+};
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/request_path.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/callers/http_server.h"
+#include "lovagebeam/routing/router.h"
+#include "lovagebeam/targets/http_client.h"
+#include "lovagebeam/targets/protocol.h"
+#include "lovagebeam/telemetry/metrics.h"
+
+#include "decision_loop.h"
+#include "ports.h"
+#include "replication.h"
+#include "state_limits.h"
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+
+namespace lovagebeam::daemon {
+
+/// Connects the router with callers, peers, targets and the replicated state. Not thread-safe;
+/// lives on the decisions thread.
+class request_path {
+public:
+    struct parts {
+        base::node_id self;
+        std::uint64_t run = 0;
+        replication* log = nullptr;
+        peer_sender* sender = nullptr;
+        targets::http_client* client = nullptr;
+        decision_loop* loop = nullptr;
+        telemetry::metrics_registry* metrics = nullptr;
+    };
+
+    explicit request_path(const parts& connected);
+
+    /// Runs `request`, whose `caller` is set here, and answers `reply` with the outcome.
+    void submit(base::time_point now, routing::caller_request request, callers::reply reply);
+
+    /// Answers with what is known about an earlier request.
+    void query(base::time_point now, const base::team_id& team, const base::idempotency_key& key,
+               callers::reply reply);
+
+    void on_announcement(base::time_point now, const targets::target_announcement& message);
+    void on_peer(base::time_point now, const base::node_id& from, std::string bytes);
+    void on_epoch(base::time_point now, bool is_self_joined);
+    void on_configuration(base::time_point now);
+    void on_confirmed(base::time_point now, base::time_point asked_at);
+    void tick(base::time_point now);
+
+    /// Refuses new work and calls `drained` once nothing is running or waiting here.
+    void shut_down(base::time_point now, std::function<void()> drained);
+
+    [[nodiscard]] routing::router_stats stats() const { return m_router.stats(); }
+
+private:
+    struct waiting_caller {
+        callers::reply reply;
+        routing::work_class priority = routing::work_class::interactive;
+        base::time_point arrived;
+    };
+
+    void step(base::time_point now, routing::event event);
+    void carry_out(base::time_point now, routing::answer_caller& effect);
+    void carry_out(base::time_point now, routing::answer_query& effect);
+    void carry_out(base::time_point now, routing::send_peer& effect);
+    void carry_out(base::time_point now, routing::start_attempt& effect);
+    void carry_out(base::time_point now, routing::fence_target& effect);
+    void carry_out(base::time_point now, routing::query_attempt& effect);
+    void carry_out(base::time_point now, routing::cancel_attempt& effect);
+    void carry_out(base::time_point now, routing::commit_intent& effect);
+    void carry_out(base::time_point now, routing::end_intent& effect);
+    void carry_out(base::time_point now, routing::drained& effect);
+    void record(base::time_point now, const waiting_caller& caller, routing::outcome outcome);
+
+    base::node_id m_self;
+    replication& m_log;
+    peer_sender& m_sender;
+    targets::http_client& m_client;
+    decision_loop& m_loop;
+    telemetry::metrics_registry& m_metrics;
+    state_limits_source m_limits;
+    routing::router m_router;
+    std::uint64_t m_last_caller = 0;
+    std::map<routing::caller_id, waiting_caller> m_callers;
+    /// Records of targets that are on their way to the replicated state.
+    std::set<base::target_id> m_target_proposals;
+    std::function<void()> m_drained;
+};
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/storage_thread.cpp
@@ -0,0 +1,172 @@
+#include "storage_thread.h"
+
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include <chrono>
+#include <cstdlib>
+#include <utility>
+
+namespace lovagebeam::daemon {
+namespace {
+
+using telemetry::log_event;
+using telemetry::severity;
+
+/// Less than the half of the decision loop's ring that is kept for completions, so that the two
+/// threads can't wait for each other.
+constexpr std::size_t ring_capacity = 8'192;
+constexpr std::size_t batch_limit = 256;
+constexpr std::size_t snapshot_chunk_bytes = std::size_t{256} * 1024;
+constexpr std::chrono::milliseconds full_disk_wait{200};
+constexpr std::chrono::seconds idle_wait{1};
+
+[[noreturn]] void end_process(const absl::Status& status)
+{
+    log_event{severity::error, "storage_failed"}
+        .with("detail", std::string{status.message()})
+        .write();
+    telemetry::stop_logging();
+    std::abort();
+}
+
+} // namespace
+
+storage_thread::storage_thread(std::unique_ptr<storage::log_store> store, decision_loop& loop)
+    : m_ring{ring_capacity}, m_store{std::move(store)}, m_loop{loop}, m_thread{[this] { run(); }}
+{
+}
+
+storage_thread::~storage_thread()
+{
+    m_ring.close();
+    m_thread.join();
+}
+
+void storage_thread::persist(consensus::persist_request request, done when_durable)
+{
+    push(persist_work{std::move(request), std::move(when_durable)});
+}
+
+void storage_thread::save_snapshot(consensus::snapshot_meta meta,
+                                   std::shared_ptr<const std::string> bytes, bool replaces_log,
+                                   done when_durable)
+{
+    push(snapshot_work{std::move(meta), std::move(bytes), replaces_log, std::move(when_durable),
+                       nullptr});
+}
+
+void storage_thread::compact_to(consensus::log_index index)
+{
+    push(compact_work{index});
+}
+
+void storage_thread::push(work next)
+{
+    while (!m_ring.try_push(std::move(next))) {
+        std::this_thread::sleep_for(std::chrono::microseconds{100});
+    }
+}
+
+void storage_thread::run()
+{
+    for (;;) {
+        const auto wait = m_snapshot ? std::chrono::seconds{0} : idle_wait;
+        auto next = m_ring.pop_until(std::chrono::steady_clock::now() + wait);
+        if (!next && !m_snapshot && m_ring.is_closed()) {
+            return;
+        }
+        for (std::size_t count = 0; next && count < batch_limit; ++count) {
+            handle(*std::move(next));
+            next = count + 1 < batch_limit ? m_ring.try_pop() : std::nullopt;
+        }
+        sync_pending();
+        if (m_snapshot) {
+            continue_snapshot();
+        }
+    }
+}
+
+void storage_thread::handle(work next)
+{
+    if (auto* persist = std::get_if<persist_work>(&next)) {
+        until_space([&] { return m_store->persist(persist->request); });
+        m_unsynced.push_back(std::move(persist->when_durable));
+        return;
+    }
+    if (const auto* compact = std::get_if<compact_work>(&next)) {
+        // The snapshot that covers these entries may have been replaced meanwhile.
+        if (compact->index <= m_store->snapshot().index) {
+            until_space([&] { return m_store->compact_to(compact->index); });
+        }
+        return;
+    }
+    auto& snapshot = std::get<snapshot_work>(next);
+    if (snapshot.meta.index <= m_store->snapshot().index) {
+        m_loop.post_completion(std::move(snapshot.when_durable));
+        return;
+    }
+    auto writer = m_store->begin_snapshot(snapshot.meta);
+    if (!writer.ok()) {
+        end_process(writer.status());
+    }
+    snapshot.writer = *std::move(writer);
+    m_snapshot = std::move(snapshot);
+    // The log of a host that installs a snapshot goes on behind it, so nothing may come between.
+    while (m_snapshot && m_snapshot->replaces_log) {
+        continue_snapshot();
+    }
+}
+
+void storage_thread::sync_pending()
+{
+    if (m_unsynced.empty()) {
+        return;
+    }
+    until_space([this] { return m_store->sync(); });
+    for (auto& finished : m_unsynced) {
+        m_loop.post_completion(std::move(finished));
+    }
+    m_unsynced.clear();
+}
+
+void storage_thread::continue_snapshot()
+{
+    const std::string_view bytes = *m_snapshot->bytes;
+    const auto written = m_snapshot->writer->size();
+    if (written < bytes.size()) {
+        until_space([&] {
+            return m_snapshot->writer->append(bytes.substr(written, snapshot_chunk_bytes));
+        });
+        return;
+    }
+    finish_snapshot();
+}
+
+void storage_thread::finish_snapshot()
+{
+    until_space([this] { return m_snapshot->writer->finish(); });
+    if (m_snapshot->replaces_log) {
+        until_space([this] { return m_store->reset_log(); });
+        until_space([this] { return m_store->sync(); });
+    }
+    m_loop.post_completion(std::move(m_snapshot->when_durable));
+    m_snapshot.reset();
+}
+
+void storage_thread::until_space(const std::function<absl::Status()>& write)
+{
+    absl::Status status = write();
+    while (base::has_code(status, base::error_code::storage_full)) {
+        log_event{severity::error, "disk_full"}
+            .with("detail", std::string{status.message()})
+            .write();
+        std::this_thread::sleep_for(full_disk_wait);
+        status = write();
+    }
+    if (!status.ok()) {
+        end_process(status);
+    }
+}
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/storage_thread.h
@@ -0,0 +1,68 @@
+#pragma once
+
+#include "lovagebeam/base/bounded_ring.h"
+#include "lovagebeam/storage/log_store.h"
+
+#include "decision_loop.h"
+#include "ports.h"
+
+#include <absl/status/status.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <variant>
+#include <vector>
+
+namespace lovagebeam::daemon {
+
+/// The log writer of a voter: a thread that owns the store. Requests that wait together share one
+/// sync. A full disk makes it try again until there is space; any other failure ends the process,
+/// since nothing is known about the bytes on disk after it.
+class storage_thread : public log_writer {
+public:
+    storage_thread(std::unique_ptr<storage::log_store> store, decision_loop& loop);
+    /// Writes what was accepted and ends the thread.
+    ~storage_thread() override;
+
+    void persist(consensus::persist_request request, done when_durable) override;
+    void save_snapshot(consensus::snapshot_meta meta, std::shared_ptr<const std::string> bytes,
+                       bool replaces_log, done when_durable) override;
+    void compact_to(consensus::log_index index) override;
+
+private:
+    struct persist_work {
+        consensus::persist_request request;
+        done when_durable;
+    };
+    struct snapshot_work {
+        consensus::snapshot_meta meta;
+        std::shared_ptr<const std::string> bytes;
+        bool replaces_log = false;
+        done when_durable;
+        std::unique_ptr<storage::snapshot_writer> writer;
+    };
+    struct compact_work {
+        consensus::log_index index;
+    };
+    using work = std::variant<persist_work, snapshot_work, compact_work>;
+
+    void push(work next);
+    void run();
+    void handle(work next);
+    void sync_pending();
+    void continue_snapshot();
+    void finish_snapshot();
+    void until_space(const std::function<absl::Status()>& write);
+
+    base::bounded_ring<work> m_ring;
+    std::unique_ptr<storage::log_store> m_store;
+    decision_loop& m_loop;
+    std::vector<done> m_unsynced;
+    std::optional<snapshot_work> m_snapshot;
+    std::thread m_thread;
+};
+
+} // namespace lovagebeam::daemon
--- /dev/null
+++ b/src/daemon/task_control.h
@@ -0,0 +1,95 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/placement/scheduler.h"
+#include "lovagebeam/platform/worker_client.h"
+#include "lovagebeam/telemetry/metrics.h"
+
+#include "decision_loop.h"
+#include "replication.h"
+#include "task_ids.h"
+
+#include <absl/status/statusor.h>
+
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::daemon {
+
+/// Runs the scheduler while this host leads: feeds it from the replicated state and the workers'
+/// announcements, commits its placements, and tells workers only what is committed. Not
+/// thread-safe; lives on the decisions thread.
+class task_control {
+public:
+    struct parts {
+        replication* log = nullptr;
+        targets::http_client* client = nullptr;
+        decision_loop* loop = nullptr;
+        telemetry::metrics_registry* metrics = nullptr;
+    };
+
+    explicit task_control(const parts& connected);
+
+    void tick(base::time_point now);
+    /// Commits the placements that were decided since the last call, many to a command.
+    void flush(base::time_point now);
+
+    void on_applied(base::time_point now, const state::command& command,
+                    const state::apply_result& result);
+
+    /// Takes a worker's announcement and returns the answer for it: the renewed leases.
+    absl::StatusOr<std::string> on_announcement(base::time_point now, const std::string& text);
+
+    /// Returns the explanation of a job as JSON, or `not_found`.
+    [[nodiscard]] absl::StatusOr<std::string> explain_job(const std::string& id) const;
+
+    /// Returns the teams with their bookings and shares as JSON.
+    [[nodiscard]] std::string list_team_use() const;
+
+private:
+    struct known_worker {
+        targets::endpoint where;
+        base::time_point seen;
+        bool is_lost = false;
+    };
+
+    void start(base::time_point now);
+    void step(base::time_point now, const placement::event& input);
+    void carry_out(base::time_point now, const placement::worker_command& command);
+    void start_task(base::time_point now, const placement::worker_command& command,
+                    const targets::endpoint& where);
+    void on_start_result(base::time_point now, const base::task_id& task,
+                         const platform::worker_result& result);
+    void on_job_update(base::time_point now, const placement::job_update& update);
+    void on_released(base::time_point now, const placement::placement_released& released);
+    void on_placed(base::time_point now, const std::vector<placement::placement_decision>& decided,
+                   const absl::StatusOr<state::apply_result>& result);
+    void report_end(base::time_point now, const base::task_id& task, platform::task_state ended,
+                    const std::string& output);
+    void commit_end(base::time_point now, const base::task_id& task,
+                    proto::state::TaskOutcome outcome, const std::string& output,
+                    placement::task_outcome report);
+    void remember_worker(base::time_point now, const platform::worker_announcement& message);
+    void feed_worker(base::time_point now, const platform::worker_announcement& message);
+    void look_for_lost_workers(base::time_point now);
+    void feed_teams(base::time_point now);
+    void publish_metrics();
+    [[nodiscard]] placement::recovered_state recover() const;
+    [[nodiscard]] bool is_repeatable(const placement_ref& ref) const;
+
+    replication& m_log;
+    platform::worker_client m_workers_client;
+    decision_loop& m_loop;
+    telemetry::metrics_registry& m_metrics;
+    std::optional<placement::scheduler> m_scheduler;
+    std::uint64_t m_generation = 0;
+    std::map<base::worker_id, known_worker> m_workers;
+    std::set<base::worker_id> m_worker_proposals;
+    std::set<base::task_id> m_ending;
+    std::vector<placement::placement_decision> m_decided;
+};
+
+} // namespace lovagebeam::daemon
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -1,5 +1,6 @@
 #include "lovagebeam/standin/worker.h"
 
+#include "lovagebeam/targets/protocol.h"
 #include "lovagebeam/telemetry/log.h"
 
 #include <boost/json.hpp>
@@ -92,7 +93,10 @@
     const auto run_time = m_settings.failing ? std::chrono::milliseconds{0} : message.spec.run_time;
     m_timers.run_at(now + run_time, [this, id] {
         const std::lock_guard lock{m_mutex};
-        end(m_tasks.at(id), m_settings.failing ? task_state::failed : task_state::succeeded);
+        const auto found = m_tasks.find(id);
+        if (found != m_tasks.end()) {
+            end(found->second, m_settings.failing ? task_state::failed : task_state::succeeded);
+        }
     });
 }
 
