Add callers::http_server and first version of targets::http_client

Cause: callers, targets and operators reach the system over HTTP/1.1. Change: server with one request in progress for each connection, typed JSON errors, limits and drain; client with pooled connections; strict JSON of the target and worker protocols. The client has no tests yet. Ruled out: beast::tcp_stream's timeouts in the server, because they close the socket and with it the answer 408; a reply that keeps its session alive, because a stopped server would then keep sockets open.

--- /dev/null
+++ b/src/callers/server_core.cpp
@@ -0,0 +1,210 @@
+#include "server_core.h"
+
+#include "session.h"
+
+#include <boost/asio/post.hpp>
+
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lovagebeam::callers {
+namespace {
+
+namespace asio = boost::asio;
+using asio::ip::tcp;
+using boost::system::error_code;
+
+// A connection over the limit is still accepted, so that its caller gets a typed refusal. Beyond
+// this many of them, connections are closed without an answer.
+constexpr std::size_t refusals_at_once = 64;
+
+// After a failed accept, for example without free file descriptors, a retry at once would spin.
+constexpr std::chrono::milliseconds accept_pause{20};
+
+} // namespace
+
+server_core::server_core(tcp::endpoint where, request_handler handler,
+                         const http_server_limits& limits)
+    : m_limits{limits}, m_where{std::move(where)}, m_handler{std::move(handler)},
+      m_work{asio::make_work_guard(m_io)}
+{
+}
+
+server_core::~server_core() = default;
+
+absl::Status server_core::start()
+{
+    error_code ec;
+    m_acceptor.open(m_where.protocol(), ec);
+    if (!ec) {
+        m_acceptor.set_option(tcp::acceptor::reuse_address{true}, ec);
+    }
+    if (!ec) {
+        m_acceptor.bind(m_where, ec);
+    }
+    if (!ec) {
+        m_acceptor.listen(tcp::acceptor::max_listen_connections, ec);
+    }
+    if (!ec) {
+        m_acceptor.non_blocking(true, ec);
+    }
+    if (ec) {
+        return base::make_error(base::error_code::connect_failed,
+                                "cannot listen on " + m_where.address().to_string() + ":" +
+                                    std::to_string(m_where.port()) + ": " + ec.message());
+    }
+    m_port = m_acceptor.local_endpoint().port();
+    accept_next();
+    m_thread = std::thread{[this] { m_io.run(); }};
+    return absl::OkStatus();
+}
+
+void server_core::stop()
+{
+    if (!m_thread.joinable()) {
+        return;
+    }
+    // The thread ends once every cancelled operation has run its handler. Handlers left behind
+    // would keep their sessions, and these the io_context that owns the handlers.
+    asio::post(m_io, [this] {
+        close_all();
+        m_work.reset();
+    });
+    m_thread.join();
+    m_handler = nullptr;
+    m_drained = nullptr;
+}
+
+void server_core::accept_next()
+{
+    m_acceptor.async_accept([this](error_code ec, tcp::socket socket) {
+        if (!m_acceptor.is_open()) {
+            return;
+        }
+        if (!ec) {
+            admit(std::move(socket));
+            accept_next();
+            return;
+        }
+        m_accept_timer.expires_after(accept_pause);
+        m_accept_timer.async_wait([this](error_code waited) {
+            if (!waited && m_acceptor.is_open()) {
+                accept_next();
+            }
+        });
+    });
+}
+
+void server_core::admit(tcp::socket socket)
+{
+    const bool full = m_sessions.size() >= m_limits.connections;
+    if (m_sessions.size() >= m_limits.connections + refusals_at_once) {
+        ++m_counters.connections_refused;
+        return;
+    }
+    auto added = std::make_shared<session>(shared_from_this(), std::move(socket));
+    m_sessions.insert(added);
+    m_counters.connections_open = m_sessions.size();
+    if (full) {
+        ++m_counters.connections_refused;
+        added->refuse();
+        return;
+    }
+    ++m_counters.connections_accepted;
+    added->start();
+}
+
+void server_core::remove(const std::shared_ptr<session>& closed)
+{
+    m_sessions.erase(closed);
+    m_counters.connections_open = m_sessions.size();
+    if (m_draining && m_sessions.empty()) {
+        finish_drain(true);
+    }
+}
+
+void server_core::drain(std::chrono::milliseconds limit, std::function<void(drain_result)> done)
+{
+    asio::post(m_io, [this, limit, done = std::move(done)]() mutable {
+        if (m_draining) {
+            return;
+        }
+        m_drained = std::move(done);
+        begin_drain(limit);
+    });
+}
+
+// Connections that the kernel has completed count as accepted: closing the listening socket would
+// reset them together with requests that they may carry.
+void server_core::accept_backlog()
+{
+    error_code ec;
+    while (true) {
+        tcp::socket socket{m_io};
+        m_acceptor.accept(socket, ec);
+        if (ec) {
+            return;
+        }
+        admit(std::move(socket));
+    }
+}
+
+void server_core::begin_drain(std::chrono::milliseconds limit)
+{
+    m_draining = true;
+    accept_backlog();
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_idle_timer.expires_after(m_limits.drain_idle_time);
+    m_idle_timer.async_wait([this](error_code ec) {
+        if (ec) {
+            return;
+        }
+        const std::vector<std::shared_ptr<session>> sessions{m_sessions.begin(), m_sessions.end()};
+        for (const auto& each : sessions) {
+            each->close_if_idle();
+        }
+    });
+    m_drain_timer.expires_after(limit);
+    m_drain_timer.async_wait([this](error_code ec) {
+        if (!ec) {
+            finish_drain(false);
+        }
+    });
+    if (m_sessions.empty()) {
+        finish_drain(true);
+    }
+}
+
+void server_core::finish_drain(bool complete)
+{
+    if (!m_drained) {
+        return;
+    }
+    m_idle_timer.cancel();
+    m_drain_timer.cancel();
+    drain_result result{.complete = complete, .requests_cut = 0};
+    for (const auto& each : m_sessions) {
+        result.requests_cut += each->has_request() ? 1U : 0U;
+    }
+    result.complete = complete || result.requests_cut == 0;
+    const auto done = std::exchange(m_drained, nullptr);
+    close_all();
+    done(result);
+}
+
+void server_core::close_all()
+{
+    error_code ignored;
+    m_acceptor.close(ignored);
+    m_accept_timer.cancel();
+    m_idle_timer.cancel();
+    m_drain_timer.cancel();
+    for (const auto& each : std::exchange(m_sessions, {})) {
+        each->close_now();
+    }
+    m_counters.connections_open = 0;
+}
+
+} // namespace lovagebeam::callers
--- /dev/null
+++ b/src/callers/session.cpp
@@ -0,0 +1,371 @@
+#include "session.h"
+
+#include "http_convert.h"
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/http/empty_body.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/write.hpp>
+
+#include <chrono>
+#include <string>
+#include <utility>
+
+namespace lovagebeam::callers {
+namespace {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+
+// Closing a socket with unread bytes resets the connection and can destroy the answer on its way,
+// so the rest of what the caller sends is read and discarded for this time.
+constexpr std::chrono::milliseconds linger_time{2'000};
+
+constexpr std::size_t first_read_bytes = 4096;
+
+// A buffer that a large body has grown isn't kept between requests.
+constexpr std::size_t kept_buffer_bytes = std::size_t{64} * 1024;
+
+} // namespace
+
+session::session(std::shared_ptr<server_core> core, asio::ip::tcp::socket socket)
+    : m_core{std::move(core)}, m_socket{std::move(socket)}, m_timer{m_core->io()}
+{
+    beast::error_code ec;
+    m_socket.set_option(asio::ip::tcp::no_delay{true}, ec);
+    const auto remote = m_socket.remote_endpoint(ec);
+    if (!ec) {
+        m_remote_address = remote.address().to_string();
+    }
+}
+
+void session::arm(std::chrono::milliseconds limit)
+{
+    m_timed_out = false;
+    ++m_timer_sequence;
+    m_timer.expires_after(limit);
+    m_timer.async_wait(
+        [self = weak_from_this(), sequence = m_timer_sequence](beast::error_code ec) {
+            const auto found = self.lock();
+            if (ec || !found || found->m_timer_sequence != sequence) {
+                return;
+            }
+            found->m_timed_out = true;
+            beast::error_code ignored;
+            found->m_socket.cancel(ignored);
+        });
+}
+
+void session::disarm()
+{
+    ++m_timer_sequence;
+    m_timer.cancel();
+}
+
+void session::start()
+{
+    await_request();
+}
+
+void session::refuse()
+{
+    write(error_response(503, base::error_code::queue_full,
+                         "the server has its maximum number of connections"),
+          false);
+}
+
+bool session::has_request() const
+{
+    return m_phase == phase::reading || m_phase == phase::handling || m_phase == phase::writing;
+}
+
+// The idle time ends with the first byte of a request and the request time begins with it, so the
+// first byte is waited for separately.
+void session::await_request()
+{
+    m_phase = phase::idle;
+    if (m_buffer.size() > 0) {
+        read_header();
+        return;
+    }
+    arm(m_core->draining() ? m_core->limits().drain_idle_time : m_core->limits().idle_time);
+    m_socket.async_read_some(m_buffer.prepare(first_read_bytes),
+                             [self = shared_from_this()](beast::error_code ec, std::size_t count) {
+                                 if (self->m_phase == phase::closed) {
+                                     return;
+                                 }
+                                 self->m_buffer.commit(count);
+                                 if (count == 0 || ec) {
+                                     self->linger();
+                                     return;
+                                 }
+                                 self->read_header();
+                             });
+}
+
+void session::read_header()
+{
+    m_phase = phase::reading;
+    m_keep_alive = true;
+    m_head_request = false;
+    m_parser.emplace();
+    m_parser->header_limit(static_cast<std::uint32_t>(m_core->limits().header_bytes));
+    m_parser->body_limit(m_core->limits().body_bytes);
+    arm(m_core->limits().request_time);
+    http::async_read_header(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->on_header(ec); });
+}
+
+void session::on_header(beast::error_code ec)
+{
+    if (m_phase == phase::closed) {
+        return;
+    }
+    if (ec) {
+        reject(ec);
+        return;
+    }
+    const auto& header = m_parser->get();
+    m_keep_alive = header.keep_alive();
+    m_head_request = header.method() == http::verb::head;
+    if (auto refused = check_header(header, m_parser->content_length(), m_parser->chunked(),
+                                    m_core->limits().body_bytes)) {
+        reject(std::move(*refused));
+        return;
+    }
+    if (!m_parser->is_done() && beast::iequals(header[http::field::expect], "100-continue")) {
+        send_continue();
+        return;
+    }
+    read_body();
+}
+
+void session::send_continue()
+{
+    static const std::string interim = "HTTP/1.1 100 Continue\r\n\r\n";
+    asio::async_write(m_socket, asio::buffer(interim),
+                      [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                          if (self->m_phase == phase::closed) {
+                              return;
+                          }
+                          if (ec) {
+                              self->close();
+                              return;
+                          }
+                          self->read_body();
+                      });
+}
+
+void session::read_body()
+{
+    http::async_read(
+        m_socket, m_buffer, *m_parser,
+        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->on_body(ec); });
+}
+
+void session::on_body(beast::error_code ec)
+{
+    if (m_phase == phase::closed) {
+        return;
+    }
+    if (ec) {
+        reject(ec);
+        return;
+    }
+    // An outstanding answer has no time limit here: the handler decides on its deadline.
+    disarm();
+    dispatch();
+}
+
+void session::dispatch()
+{
+    m_phase = phase::handling;
+    auto& counters = m_core->counters();
+    if (counters.requests_in_progress >= m_core->limits().requests_in_progress) {
+        ++counters.requests_refused;
+        write(error_response(503, base::error_code::queue_full,
+                             "the server has its maximum number of requests in progress"),
+              m_keep_alive);
+        return;
+    }
+    ++counters.requests;
+    ++counters.requests_in_progress;
+    m_counted = true;
+    ++m_sequence;
+    reply answer{std::make_shared<reply::slot>(m_core, weak_from_this(), m_sequence)};
+    m_core->handle(take_request(), std::move(answer));
+}
+
+http_request session::take_request()
+{
+    auto message = m_parser->release();
+    m_parser.reset();
+    if (m_buffer.size() == 0 && m_buffer.capacity() > kept_buffer_bytes) {
+        m_buffer = {};
+    }
+    http_request request = convert_request(std::move(message));
+    request.remote_address = m_remote_address;
+    request.received_at = std::chrono::steady_clock::now();
+    return request;
+}
+
+void session::reject(beast::error_code ec)
+{
+    if (m_timed_out && ec == asio::error::operation_aborted) {
+        ec = beast::error::timeout;
+    }
+    if (auto response = describe_read_error(ec, m_core->limits())) {
+        reject(std::move(*response));
+        return;
+    }
+    close();
+}
+
+// What follows a request that couldn't be read can't be told from its rest, so the connection ends.
+void session::reject(http_response response)
+{
+    ++m_core->counters().requests_rejected;
+    write(std::move(response), false);
+}
+
+void session::respond(std::uint64_t sequence, http_response response)
+{
+    if (m_phase != phase::handling || sequence != m_sequence) {
+        return;
+    }
+    write(std::move(response), m_keep_alive);
+}
+
+void session::write(http_response response, bool keep_open)
+{
+    const bool in_time = m_phase == phase::handling;
+    m_phase = phase::writing;
+    keep_open = keep_open && !m_core->draining();
+    auto message = std::make_shared<http::response<http::string_body>>(
+        convert_response(std::move(response), keep_open, m_head_request));
+    arm(m_core->limits().request_time);
+    http::async_write(m_socket, *message,
+                      [self = shared_from_this(), message, keep_open, in_time](beast::error_code ec,
+                                                                               std::size_t) {
+                          if (self->m_phase == phase::closed) {
+                              return;
+                          }
+                          if (ec) {
+                              self->close();
+                              return;
+                          }
+                          if (in_time) {
+                              ++self->m_core->counters().responses;
+                          }
+                          self->on_written(keep_open);
+                      });
+}
+
+void session::on_written(bool keep_open)
+{
+    if (std::exchange(m_counted, false)) {
+        --m_core->counters().requests_in_progress;
+    }
+    if (keep_open) {
+        await_request();
+        return;
+    }
+    linger();
+}
+
+void session::linger()
+{
+    m_phase = phase::lingering;
+    beast::error_code ec;
+    m_socket.shutdown(asio::ip::tcp::socket::shutdown_send, ec);
+    if (ec) {
+        close();
+        return;
+    }
+    arm(linger_time);
+    linger_more();
+}
+
+void session::linger_more()
+{
+    m_socket.async_read_some(asio::buffer(m_discard),
+                             [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                                 if (self->m_phase == phase::closed) {
+                                     return;
+                                 }
+                                 if (ec) {
+                                     self->close();
+                                     return;
+                                 }
+                                 self->linger_more();
+                             });
+}
+
+// A request that has arrived but isn't read yet is still served.
+void session::close_if_idle()
+{
+    if (m_phase != phase::idle) {
+        return;
+    }
+    beast::error_code ec;
+    if (m_socket.available(ec) > 0 && !ec) {
+        return;
+    }
+    m_socket.cancel(ec);
+}
+
+void session::close_now()
+{
+    m_phase = phase::closed;
+    if (std::exchange(m_counted, false)) {
+        --m_core->counters().requests_in_progress;
+    }
+    disarm();
+    beast::error_code ignored;
+    m_socket.close(ignored);
+}
+
+void session::close()
+{
+    close_now();
+    m_core->remove(shared_from_this());
+}
+
+reply::slot::slot(std::shared_ptr<server_core> core, std::weak_ptr<session> target,
+                  std::uint64_t sequence)
+    : m_core{std::move(core)}, m_target{std::move(target)}, m_sequence{sequence}
+{
+}
+
+reply::slot::~slot()
+{
+    send(error_response(500, base::error_code::internal_error,
+                        "the request ended without an answer", "unknown"));
+}
+
+bool reply::slot::send(http_response response)
+{
+    if (m_answered.exchange(true)) {
+        return false;
+    }
+    // The posted function holds no reference to the core, which owns the io_context and with it
+    // this function when the server stops first.
+    asio::post(m_core->io(), [target = m_target, sequence = m_sequence,
+                              response = std::move(response)]() mutable {
+        if (const auto found = target.lock()) {
+            found->respond(sequence, std::move(response));
+        }
+    });
+    return true;
+}
+
+bool reply::send(http_response response) const
+{
+    return m_slot->send(std::move(response));
+}
+
+} // namespace lovagebeam::callers
--- /dev/null
+++ b/src/callers/session.h
@@ -0,0 +1,99 @@
+#pragma once
+
+#include "lovagebeam/callers/http_server.h"
+
+#include "server_core.h"
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <array>
+#include <cstdint>
+#include <memory>
+#include <optional>
+
+namespace lovagebeam::callers {
+
+/// One connection. Reads a request, passes it on, writes its answer, and only then reads the next
+/// one. Lives while the core lists it or an operation of its socket is pending. Used on the
+/// server's thread only.
+class session : public std::enable_shared_from_this<session> {
+public:
+    session(std::shared_ptr<server_core> core, boost::asio::ip::tcp::socket socket);
+
+    void start();
+
+    /// Answers 503 without reading a request, and closes.
+    void refuse();
+
+    /// Sends the answer to request number `sequence`, unless that request isn't in progress.
+    void respond(std::uint64_t sequence, http_response response);
+
+    void close_if_idle();
+    void close_now();
+
+    /// Whether a request has begun to arrive and its answer isn't completely written.
+    [[nodiscard]] bool has_request() const;
+
+private:
+    enum class phase { idle, reading, handling, writing, lingering, closed };
+    using message_parser = boost::beast::http::request_parser<boost::beast::http::string_body>;
+
+    /// Cancels the socket's operations after `limit`, unless `disarm` or another `arm` comes first.
+    /// The stream of Beast would close the socket instead, and with it the answer 408.
+    void arm(std::chrono::milliseconds limit);
+    void disarm();
+
+    void await_request();
+    void read_header();
+    void on_header(boost::beast::error_code ec);
+    void send_continue();
+    void read_body();
+    void on_body(boost::beast::error_code ec);
+    void dispatch();
+    [[nodiscard]] http_request take_request();
+    void reject(boost::beast::error_code ec);
+    void reject(http_response response);
+    void write(http_response response, bool keep_open);
+    void on_written(bool keep_open);
+    void linger();
+    void linger_more();
+    void close();
+
+    std::shared_ptr<server_core> m_core;
+    boost::asio::ip::tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    boost::beast::flat_buffer m_buffer;
+    std::optional<message_parser> m_parser;
+    std::string m_remote_address;
+    std::array<char, 1024> m_discard{};
+    std::uint64_t m_sequence = 0;
+    phase m_phase = phase::idle;
+    bool m_keep_alive = true;
+    bool m_head_request = false;
+    std::uint64_t m_timer_sequence = 0;
+    bool m_timed_out = false;
+    bool m_counted = false; ///< Counts as a request in progress.
+};
+
+/// The state that copies of one reply share.
+class reply::slot {
+public:
+    slot(std::shared_ptr<server_core> core, std::weak_ptr<session> target, std::uint64_t sequence);
+    ~slot();
+    slot(const slot&) = delete;
+    slot& operator=(const slot&) = delete;
+
+    bool send(http_response response);
+
+private:
+    std::shared_ptr<server_core> m_core;
+    std::weak_ptr<session> m_target;
+    std::uint64_t m_sequence;
+    std::atomic<bool> m_answered{false};
+};
+
+} // namespace lovagebeam::callers
--- /dev/null
+++ b/src/targets/endpoint_pool.h
@@ -0,0 +1,62 @@
+#pragma once
+
+#include "connection.h"
+#include "pending_call.h"
+
+#include <deque>
+#include <functional>
+#include <memory>
+#include <unordered_set>
+#include <vector>
+
+namespace lovagebeam::targets {
+
+/// What a pool reports to the client.
+class pool_owner {
+public:
+    virtual ~pool_owner() = default;
+
+    virtual void on_pool_call_done(const call_ptr& call, http_result result) = 0;
+    virtual void on_connections_changed(const endpoint& where, std::size_t open, bool opened) = 0;
+    virtual void on_connection_reused() = 0;
+};
+
+/// The connections to one endpoint and the calls that wait for one. Used on the client's thread.
+class endpoint_pool : public connection_owner {
+public:
+    endpoint_pool(boost::asio::io_context& io, pool_owner& owner, endpoint where,
+                  boost::asio::ip::tcp::endpoint address, const http_client_limits& limits);
+
+    /// Takes over a call: it goes to a connection, waits or is refused.
+    void add(const call_ptr& call);
+
+    /// Ends a call of this pool whose deadline has passed.
+    void expire(const call_ptr& call);
+
+    /// Ends every call as `cancelled` and resets every connection.
+    void close_all();
+
+    [[nodiscard]] bool unused() const { return m_connections.empty() && m_queue.empty(); }
+
+    void on_call_done(const call_ptr& call, http_result result) override;
+    void on_idle(const std::shared_ptr<connection>& which) override;
+    void on_closed(const std::shared_ptr<connection>& which) override;
+
+private:
+    void serve_queue();
+    [[nodiscard]] bool place(const call_ptr& call);
+    void close_idle();
+
+    boost::asio::io_context& m_io;
+    pool_owner& m_owner;
+    endpoint m_where;
+    boost::asio::ip::tcp::endpoint m_address;
+    const http_client_limits& m_limits;
+    std::unordered_set<std::shared_ptr<connection>> m_connections;
+    std::vector<std::shared_ptr<connection>> m_idle; ///< The most recently used one is last.
+    std::deque<call_ptr> m_queue;
+    bool m_closing = false;
+    bool m_serving = false;
+};
+
+} // namespace lovagebeam::targets
