--- a/include/lovagebeam/targets/http_client.h
+++ b/include/lovagebeam/targets/http_client.h
@@ -6,7 +6,6 @@
 #include <absl/status/status.h>
 
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <functional>
@@ -14,6 +13,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <tuple>
 #include <vector>
 
 namespace lovagebeam::targets {
@@ -28,7 +28,11 @@
     std::string address;
     std::uint16_t port = 0;
 
-    friend auto operator<=>(const endpoint&, const endpoint&) = default;
+    friend bool operator==(const endpoint&, const endpoint&) = default;
+    friend bool operator<(const endpoint& left, const endpoint& right)
+    {
+        return std::tie(left.address, left.port) < std::tie(right.address, right.port);
+    }
 };
 
 /// How a call ended. Only `answered` carries an answer, which is then whole.
