Add entry table, team owner, target home and change of epoch

Cause: the request path needs its three parts behind the router. Change: entry_table submits and asks until there is one answer; team_owner keeps keys, locks, queues, limits and picks homes; target_home keeps slots, fences and asks targets; epoch_sync exchanges known targets and reports. Ruled out: clearing the replay windows at a new epoch, because an owner that was paused and comes back could then be told "not run" about work that did run; the records of ends and the windows stay instead.

--- a/include/lovagebeam/routing/events.h
+++ b/include/lovagebeam/routing/events.h
@@ -42,6 +42,11 @@
     std::string bytes;
 };
 
+/// All connections to a peer are lost.
+struct peer_lost {
+    base::node_id peer;
+};
+
 /// A target's announcement, received by this host from the target. The router forwards it.
 struct target_announced {
     target_info info;
@@ -108,7 +113,7 @@
 struct shutdown_requested {};
 
 using event =
-    std::variant<tick, caller_request, caller_gone, result_query, peer_message, target_announced,
+    std::variant<tick, caller_request, caller_gone, result_query, peer_message, peer_lost, target_announced,
                  attempt_ended, fence_answered, query_answered, epoch_installed, leader_contact,
                  intent_committed, limits_changed, shutdown_requested>;
 
--- /dev/null
+++ b/src/routing/epoch_sync.cpp
@@ -0,0 +1,206 @@
+#include "epoch_sync.h"
+
+#include <algorithm>
+
+namespace lovagebeam::routing {
+namespace {
+
+constexpr base::duration resend_interval = 100ms;
+
+} // namespace
+
+void epoch_sync::on_epoch_installed()
+{
+    m_members.clear();
+    m_list_versions.clear();
+    m_are_targets_known = false;
+    m_is_complete = false;
+    m_version = 0;
+    m_reported_doubts.clear();
+    for (const auto& member : m_shared.members.members()) {
+        m_members[member];
+    }
+    if (m_shared.members.is_joined()) {
+        send_targets();
+    }
+}
+
+void epoch_sync::send_targets()
+{
+    for (const auto& [member, state] : m_members) {
+        if (!state.has_acked_targets) {
+            proto::RoutingMessage message;
+            m_home.fill_targets(member, *message.mutable_epoch_targets());
+            m_shared.send(member, std::move(message));
+        }
+    }
+    m_next_send = m_shared.now + resend_interval;
+}
+
+void epoch_sync::on_targets(const base::node_id& from, const proto::EpochTargets& message)
+{
+    const auto found = m_members.find(from);
+    if (found == m_members.end() || !m_shared.members.is_joined()) {
+        return;
+    }
+    if (!found->second.has_sent_targets) {
+        found->second.has_sent_targets = true;
+        for (const auto& state : message.targets()) {
+            m_home.add_target(from_proto(state),
+                              std::ranges::find(message.vouched(), state.target()) !=
+                                  message.vouched().end());
+        }
+    }
+    proto::RoutingMessage ack;
+    ack.mutable_epoch_targets_ack();
+    m_shared.send(from, std::move(ack));
+    const bool is_known = std::ranges::all_of(
+        m_members, [](const auto& item) { return item.second.has_sent_targets; });
+    if (is_known && !m_are_targets_known) {
+        m_are_targets_known = true;
+        m_home.on_all_targets_known();
+        make_report();
+    }
+}
+
+void epoch_sync::on_targets_ack(const base::node_id& from)
+{
+    const auto found = m_members.find(from);
+    if (found != m_members.end()) {
+        found->second.has_acked_targets = true;
+    }
+}
+
+void epoch_sync::make_report()
+{
+    if (!m_are_targets_known || !m_shared.may_act()) {
+        return;
+    }
+    if (m_version == 0 && m_home.is_report_ready()) {
+        m_version = 1;
+        m_reported_doubts = m_home.targets_in_doubt();
+        send_reports();
+    }
+    else if (m_version > 0 && !m_reported_doubts.empty()) {
+        auto doubts = m_home.targets_in_doubt();
+        if (doubts.size() < m_reported_doubts.size()) {
+            m_reported_doubts = std::move(doubts);
+            ++m_version;
+            send_reports();
+        }
+    }
+}
+
+void epoch_sync::send_reports()
+{
+    for (const auto& [member, state] : m_members) {
+        if (state.acked_report < m_version) {
+            proto::RoutingMessage message;
+            auto& report = *message.mutable_epoch_report();
+            report.set_version(m_version);
+            m_home.fill_report(member, report);
+            m_owner.hand_over(member, report);
+            for (const auto& target : m_reported_doubts) {
+                report.add_in_doubt(target);
+            }
+            m_shared.send(member, std::move(message));
+        }
+    }
+    m_next_send = m_shared.now + resend_interval;
+}
+
+void epoch_sync::on_report(const base::node_id& from, proto::EpochReport&& message)
+{
+    const auto found = m_members.find(from);
+    if (found == m_members.end() || !m_shared.members.is_joined()) {
+        return;
+    }
+    proto::RoutingMessage ack;
+    ack.mutable_epoch_report_ack()->set_version(message.version());
+    m_shared.send(from, std::move(ack));
+    if (message.version() <= found->second.report) {
+        return;
+    }
+    found->second.report = message.version();
+    found->second.in_doubt.assign(message.in_doubt().begin(), message.in_doubt().end());
+    for (auto& result : *message.mutable_results()) {
+        m_owner.adopt_result(result);
+    }
+    for (const auto& attempt : message.running()) {
+        m_owner.adopt(from, attempt);
+    }
+    check_complete();
+}
+
+void epoch_sync::check_complete()
+{
+    bool is_in_doubt = false;
+    for (const auto& [member, state] : m_members) {
+        if (state.report == 0) {
+            return;
+        }
+        is_in_doubt = is_in_doubt || !state.in_doubt.empty();
+    }
+    if (!m_is_complete) {
+        m_is_complete = true;
+        m_had_doubts = is_in_doubt;
+        m_owner.on_reports_complete(is_in_doubt);
+        m_home.on_reports_complete();
+    }
+    else if (m_had_doubts && !is_in_doubt) {
+        m_had_doubts = false;
+        m_owner.on_reports_complete(false);
+    }
+}
+
+void epoch_sync::on_report_ack(const base::node_id& from, const proto::EpochReportAck& message)
+{
+    const auto found = m_members.find(from);
+    if (found != m_members.end()) {
+        found->second.acked_report = std::max(found->second.acked_report, message.version());
+    }
+}
+
+void epoch_sync::on_home_targets(const base::node_id& from, const proto::HomeTargets& message)
+{
+    if (!m_members.contains(from)) {
+        return;
+    }
+    proto::RoutingMessage ack;
+    ack.mutable_home_targets_ack()->set_version(message.version());
+    m_shared.send(from, std::move(ack));
+    auto& version = m_list_versions[from];
+    if (message.version() < version) {
+        return;
+    }
+    version = message.version();
+    std::vector<target_info> targets;
+    for (const auto& state : message.targets()) {
+        targets.push_back(from_proto(state));
+    }
+    m_registry.store(from, m_shared.members.number(), std::move(targets));
+    if (m_is_complete) {
+        m_registry.prune(m_shared.members);
+    }
+}
+
+void epoch_sync::on_tick()
+{
+    if (!m_shared.members.is_joined()) {
+        return;
+    }
+    make_report();
+    if (m_shared.now < m_next_send) {
+        return;
+    }
+    const bool has_unsent_targets = std::ranges::any_of(
+        m_members, [](const auto& item) { return !item.second.has_acked_targets; });
+    if (has_unsent_targets) {
+        send_targets();
+    }
+    if (m_version > 0) {
+        send_reports();
+    }
+}
+
+} // namespace lovagebeam::routing
--- /dev/null
+++ b/src/routing/fair_queue.h
@@ -0,0 +1,58 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/routing/types.h"
+
+#include <array>
+#include <deque>
+#include <map>
+#include <optional>
+#include <string>
+
+namespace lovagebeam::routing {
+
+/// Attempts that wait for a slot of a home: by class, then by weighted fair share of the teams.
+class fair_queue {
+public:
+    void push(const std::string& attempt, const std::string& team, work_class priority,
+              std::uint32_t share);
+
+    /// Removes the next attempt for which `is_waiting` holds; others were ended meanwhile.
+    template <class Predicate>
+    std::optional<std::string> pop(const Predicate& is_waiting)
+    {
+        for (std::size_t priority = 0; priority < work_class_count; ++priority) {
+            while (team_queue* team = next_team(priority)) {
+                auto& queue = team->queues.at(priority);
+                const std::string attempt = std::move(queue.front());
+                queue.pop_front();
+                if (is_waiting(attempt)) {
+                    return attempt;
+                }
+            }
+        }
+        return std::nullopt;
+    }
+
+    /// An attempt of the team takes a slot or gives it back after `service`.
+    void on_started(const std::string& team);
+    void on_ended(const std::string& team, base::duration service);
+
+private:
+    struct team_queue {
+        std::array<std::deque<std::string>, work_class_count> queues;
+        std::uint32_t share = 1;
+        std::uint32_t running = 0;
+        /// Slot time used by weight. It breaks ties of running/weight, so that shares are right
+        /// over time although slots cannot be split.
+        double used = 0;
+        bool is_backlogged = false;
+    };
+
+    team_queue* next_team(std::size_t priority);
+    [[nodiscard]] double least_used() const;
+
+    std::map<std::string, team_queue> m_teams;
+};
+
+} // namespace lovagebeam::routing
