--- a/include/lovagebeam/consensus/replica.h
+++ b/include/lovagebeam/consensus/replica.h
@@ -71,7 +71,7 @@
 
     /// Takes one event and returns what is to be done. `now` never decreases between calls. A
     /// refused request is reported in the effects; nothing is thrown for any event or message.
-    virtual effects step(base::time_point now, event event) = 0;
+    virtual effects step(base::time_point now, event input) = 0;
 
     [[nodiscard]] virtual replica_role role() const = 0;
     [[nodiscard]] virtual term current_term() const = 0;
@@ -85,7 +85,8 @@
     [[nodiscard]] virtual bool is_config_committed() const = 0;
     /// Returns index, term and configuration for a snapshot of the state machine after `applied`,
     /// which must have been in an effect and lie behind the last snapshot. Size and checksum are
-    /// left to the caller. Returns nothing if `applied` is out of this range.
+    /// left to the caller. Returns nothing if `applied` is out of this range, or on a new learner
+    /// that doesn't know the configuration at `applied` yet.
     [[nodiscard]] virtual std::optional<snapshot_meta>
     describe_snapshot(log_index applied) const = 0;
     /// Returns what the leader knows about each member, itself included; empty on others.
--- /dev/null
+++ b/src/consensus/codec.cpp
@@ -0,0 +1,124 @@
+#include "lovagebeam/consensus/codec.h"
+
+#include "wire.h"
+
+#include <set>
+
+namespace lovagebeam::consensus {
+
+namespace wire {
+
+void put(const member& value, proto::Member& out)
+{
+    out.set_id(value.id.str());
+    out.set_incarnation(value.incarnation.value());
+}
+
+void put(const group_config& value, proto::GroupConfig& out)
+{
+    for (const member& voter : value.voters) {
+        put(voter, *out.add_voters());
+    }
+    for (const member& learner : value.learners) {
+        put(learner, *out.add_learners());
+    }
+}
+
+void put(const log_entry& value, proto::LogEntry& out)
+{
+    out.set_index(value.index.value());
+    out.set_term(value.term.value());
+    out.set_kind(static_cast<std::uint32_t>(value.kind));
+    out.set_payload(value.payload);
+}
+
+void put(const snapshot_meta& value, proto::SnapshotMeta& out)
+{
+    out.set_index(value.index.value());
+    out.set_term(value.term.value());
+    put(value.config, *out.mutable_config());
+    out.set_size(value.size.value());
+    out.set_checksum(value.checksum);
+}
+
+member get(const proto::Member& value)
+{
+    return member{base::node_id{value.id()}, incarnation{value.incarnation()}};
+}
+
+std::optional<group_config> get(const proto::GroupConfig& value)
+{
+    group_config config;
+    std::set<std::string> seen;
+    for (const auto& voter : value.voters()) {
+        if (voter.id().empty() || !seen.insert(voter.id()).second) {
+            return std::nullopt;
+        }
+        config.voters.push_back(get(voter));
+    }
+    for (const auto& learner : value.learners()) {
+        if (learner.id().empty() || !seen.insert(learner.id()).second) {
+            return std::nullopt;
+        }
+        config.learners.push_back(get(learner));
+    }
+    return config;
+}
+
+std::optional<log_entry> get(const proto::LogEntry& value)
+{
+    if (value.kind() > static_cast<std::uint32_t>(entry_kind::membership)) {
+        return std::nullopt;
+    }
+    const auto kind = static_cast<entry_kind>(value.kind());
+    if (kind == entry_kind::membership && !decode_config(value.payload())) {
+        return std::nullopt;
+    }
+    return log_entry{log_index{value.index()}, term{value.term()}, kind, value.payload()};
+}
+
+std::optional<snapshot_meta> get(const proto::SnapshotMeta& value)
+{
+    auto config = get(value.config());
+    if (!config || value.size() < 0) {
+        return std::nullopt;
+    }
+    return snapshot_meta{log_index{value.index()}, term{value.term()}, std::move(*config),
+                         base::bytes{value.size()}, value.checksum()};
+}
+
+} // namespace wire
+
+std::string encode_config(const group_config& config)
+{
+    proto::GroupConfig out;
+    wire::put(config, out);
+    return out.SerializeAsString();
+}
+
+std::optional<group_config> decode_config(std::string_view payload)
+{
+    proto::GroupConfig in;
+    if (!in.ParseFromArray(payload.data(), static_cast<int>(payload.size()))) {
+        return std::nullopt;
+    }
+    return wire::get(in);
+}
+
+std::string encode_snapshot_meta(const snapshot_meta& meta)
+{
+    proto::SnapshotMeta out;
+    wire::put(meta, out);
+    return out.SerializeAsString();
+}
+
+std::optional<snapshot_meta> decode_snapshot_meta(std::string_view bytes)
+{
+    proto::SnapshotMeta in;
+    if (!in.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return std::nullopt;
+    }
+    return wire::get(in);
+}
+
+} // namespace lovagebeam::consensus
--- /dev/null
+++ b/tests/consensus/sim_cluster.h
@@ -0,0 +1,138 @@
+#pragma once
+
+#include "lovagebeam/consensus/repair_planner.h"
+#include "lovagebeam/consensus/replica.h"
+
+#include "sim_disk.h"
+#include "sim_history.h"
+#include "sim_invariants.h"
+
+#include <functional>
+#include <memory>
+#include <queue>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace lovagebeam::consensus::test {
+
+/// How one seed's group and its surroundings look.
+struct sim_setup {
+    std::size_t voters = 3;
+    std::size_t spares = 1;   ///< Learners with a disk.
+    std::size_t diskless = 1; ///< Learners without one.
+    replica_timing timing;
+};
+
+struct sim_node {
+    member self;
+    bool durable = true;
+    bool up = false;
+    sim_time paused_until = 0;
+    /// Local time is offset + rate * true time.
+    double rate = 1.0;
+    sim_time offset = 0;
+    std::uint64_t life = 0;
+    std::unique_ptr<replica> machine;
+    sim_disk disk;
+    sim_log_view log;
+    std::vector<event> waiting;
+    // The state machine.
+    lists state;
+    log_index applied;
+    std::string incoming;
+    // Clients' requests at this node.
+    std::map<log_index, std::pair<term, std::size_t>> proposals;
+    std::optional<base::time_point> confirmed_contact;
+};
+
+struct network_faults {
+    double drop = 0.0;
+    double duplicate = 0.0;
+    double delay = 0.0; ///< Share of messages that take up to 200 ms, and so overtake others.
+    std::set<std::pair<std::size_t, std::size_t>> cut; ///< One-way, from and to.
+};
+
+/// Reads what a snapshot of the state machine holds.
+lists decode_lists(const std::string& text);
+
+/// A group of replicas with a network, disks, clocks and clients in memory. Everything follows
+/// from the random source.
+class sim_cluster {
+public:
+    sim_cluster(const sim_setup& setup, base::random_source random);
+
+    void run_until(sim_time end);
+    [[nodiscard]] sim_time now() const { return m_now; }
+    void at(sim_time time, std::function<void()> action);
+
+    // Faults and operators' actions.
+    network_faults& network() { return m_network; }
+    std::vector<sim_node>& nodes() { return m_nodes; }
+    void crash(std::size_t index);
+    void start(std::size_t index);
+    void pause(std::size_t index, sim_time length);
+    /// Crashes the node and takes its disk, if the group survives that by its own rules.
+    bool lose_disk(std::size_t index);
+    void save_snapshot(std::size_t index);
+    void give(std::size_t index, event input);
+    void repair();
+    void stop_clients() { m_clients_run = false; }
+    [[nodiscard]] std::optional<std::size_t> newest_leader() const;
+    [[nodiscard]] std::size_t completed_operations() const { return m_completed; }
+
+    /// Checks the clients' history, and that the replicas that caught up have equal states.
+    void check_history() const;
+
+private:
+    struct scheduled {
+        sim_time time;
+        std::uint64_t order;
+        std::function<void()> action;
+        friend bool operator<(const scheduled& a, const scheduled& b)
+        {
+            return std::make_pair(a.time, a.order) > std::make_pair(b.time, b.order);
+        }
+    };
+    struct client {
+        std::optional<std::size_t> running;
+        std::size_t node = 0;
+    };
+
+    [[nodiscard]] static base::time_point local_time(const sim_node& node, sim_time time);
+    [[nodiscard]] static sim_time true_time(const sim_node& node, base::time_point time);
+    [[nodiscard]] std::size_t index_of(const base::node_id& id) const;
+    [[nodiscard]] incarnation fresh_incarnation() { return incarnation{m_random.next() | 1U}; }
+    void tick_node(std::size_t index);
+    void resume(std::size_t index);
+    void process(std::size_t index, event input);
+    void take_effects(std::size_t index, effects out);
+    void send(std::size_t from, outgoing_message out);
+    void deliver_later(std::size_t to, const proto::ConsensusMessage& message);
+    void persist(std::size_t index, persist_request request);
+    void apply(std::size_t index, const log_entry& entry);
+    void take_result(std::size_t index, const proposal_result& result);
+    void take_read(std::size_t index, const read_result& result);
+    void take_snapshot(std::size_t index, const snapshot_effect& effect);
+    void install(std::size_t index, const snapshot_meta& meta);
+    void check_contacts() const;
+    void run_client(std::size_t client_index);
+    void finish(std::size_t operation_index, operation_state state);
+    void schedule_for(std::size_t index, sim_time delay, std::function<void()> action);
+
+    base::random_source m_random;
+    replica_timing m_timing;
+    sim_time m_now = 0;
+    std::uint64_t m_order = 0;
+    std::priority_queue<scheduled> m_queue;
+    network_faults m_network;
+    std::vector<sim_node> m_nodes;
+    sim_invariants m_invariants;
+    std::vector<operation> m_operations;
+    std::vector<client> m_clients{3};
+    std::size_t m_completed = 0;
+    bool m_clients_run = true;
+};
+
+} // namespace lovagebeam::consensus::test
