--- a/include/lovagebeam/routing/events.h
+++ b/include/lovagebeam/routing/events.h
@@ -67,7 +67,7 @@
 struct fence_answered {
     base::target_id target;
     base::epoch number; ///< The epoch that was sent.
-    enum class result : std::uint8_t { fenced, stale, unreachable } result = result::unreachable;
+    fence_result result = fence_result::unreachable;
     std::vector<running_attempt> running; ///< If `fenced`.
 };
 
@@ -113,8 +113,8 @@
 struct shutdown_requested {};
 
 using event =
-    std::variant<tick, caller_request, caller_gone, result_query, peer_message, peer_lost, target_announced,
-                 attempt_ended, fence_answered, query_answered, epoch_installed, leader_contact,
-                 intent_committed, limits_changed, shutdown_requested>;
+    std::variant<tick, caller_request, caller_gone, result_query, peer_message, peer_lost,
+                 target_announced, attempt_ended, fence_answered, query_answered, epoch_installed,
+                 leader_contact, intent_committed, limits_changed, shutdown_requested>;
 
 } // namespace lovagebeam::routing
--- a/include/lovagebeam/routing/types.h
+++ b/include/lovagebeam/routing/types.h
@@ -41,6 +41,13 @@
     unreachable, ///< The target could not be asked.
 };
 
+/// How a fence ended.
+enum class fence_result : std::uint8_t {
+    fenced,
+    stale, ///< The target knows a newer epoch.
+    unreachable,
+};
+
 /// What an owner knows about an idempotency key.
 enum class result_state : std::uint8_t {
     not_found,
--- a/src/routing/home_targets.cpp
+++ b/src/routing/home_targets.cpp
@@ -96,7 +96,7 @@
     target.is_fencing = false;
     --target.connections;
     if (answer.number != m_shared.members.number() || !target.is_mine ||
-        answer.result != fence_answered::result::fenced) {
+        answer.result != fence_result::fenced) {
         target.fence_again =
             m_shared.now +
             (answer.number == m_shared.members.number() ? fence_retry : base::duration::zero());
--- /dev/null
+++ b/tests/routing/sim_target.h
@@ -0,0 +1,82 @@
+#pragma once
+
+#include "sim_types.h"
+
+#include <optional>
+#include <set>
+
+namespace lovagebeam::test {
+
+enum class target_mode : std::uint8_t {
+    normal,
+    slow,
+    refuses,
+    truncates,
+    resets,
+    silent, ///< Takes bytes and never answers.
+    down,
+};
+
+/// A stand-in for a runner with the target protocol of the design page. It checks slots, work keys,
+/// limits and runs at most once.
+class sim_target {
+public:
+    using reply = std::function<void(routing::attempt_ended&&)>;
+
+    sim_target(sim_clock& clock, sim_truth& truth, const sim_limits& limits, std::string id,
+               std::uint32_t slots)
+        : m_clock{clock}, m_truth{truth}, m_limits{limits}, m_id{std::move(id)}, m_slots{slots}
+    {
+    }
+
+    /// A run request arrives on a connection of `host`. `done` is called at most once; never when
+    /// the target is silent.
+    void run(const std::string& host, const routing::start_attempt& attempt, duration service,
+             reply done);
+    routing::fence_answered fence(base::epoch number);
+    [[nodiscard]] routing::query_answered query(const base::attempt_id& attempt) const;
+    void close(const std::string& host, const std::string& attempt);
+    void restart();
+    void leave();
+
+    [[nodiscard]] const std::string& id() const { return m_id; }
+    [[nodiscard]] std::uint32_t slots() const { return m_slots; }
+    [[nodiscard]] bool is_leaving() const { return m_left_at.has_value(); }
+    [[nodiscard]] bool is_reachable() const
+    {
+        return mode != target_mode::down && mode != target_mode::silent;
+    }
+
+    target_mode mode = target_mode::normal;
+
+private:
+    struct execution {
+        routing::running_attempt what;
+        std::string body;
+        std::string host;
+        reply done;
+        time_point started;
+        std::uint64_t run = 0;
+    };
+
+    void check_start(const routing::start_attempt& attempt);
+    void begin(const std::string& host, const routing::start_attempt& attempt, duration service,
+               reply done);
+    void finish(const std::string& attempt, std::uint64_t number, bool is_killed);
+    void forget(const std::string& attempt);
+    static std::string work_key_of(const routing::running_attempt& what);
+
+    sim_clock& m_clock;
+    sim_truth& m_truth;
+    const sim_limits& m_limits;
+    std::string m_id;
+    std::uint32_t m_slots;
+    std::optional<base::epoch> m_fenced; ///< A target that was not fenced yet refuses all runs.
+    std::optional<time_point> m_left_at;
+    std::map<std::string, execution> m_running;
+    std::map<std::string, std::string> m_ended;
+    std::set<std::pair<std::string, std::string>> m_connections; ///< Host and attempt.
+    std::uint64_t m_next_run = 1;
+};
+
+} // namespace lovagebeam::test
--- /dev/null
+++ b/tests/routing/sim_types.h
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "lovagebeam/routing/router.h"
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <queue>
+#include <stdexcept>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::test {
+
+using namespace std::chrono_literals;
+using base::duration;
+using base::time_point;
+
+/// A guarantee that a run broke.
+struct broken_guarantee : std::runtime_error {
+    using std::runtime_error::runtime_error;
+};
+
+inline void guarantee(bool holds, const std::string& text)
+{
+    if (!holds) {
+        throw broken_guarantee{text};
+    }
+}
+
+/// Virtual time and the things that are due.
+class sim_clock {
+public:
+    [[nodiscard]] time_point now() const { return m_now; }
+
+    void after(duration delay, std::function<void()> action)
+    {
+        m_due.push({m_now + delay, m_next++, std::move(action)});
+    }
+
+    void run_until(time_point end)
+    {
+        while (!m_due.empty() && m_due.top().at <= end) {
+            // The element is removed at once, so moving out of it is safe.
+            auto item = std::move(const_cast<due&>(m_due.top()));
+            m_due.pop();
+            m_now = item.at;
+            item.action();
+        }
+        m_now = end;
+    }
+
+private:
+    struct due {
+        time_point at;
+        std::uint64_t number;
+        std::function<void()> action;
+
+        bool operator>(const due& other) const
+        {
+            return std::tie(at, number) > std::tie(other.at, other.number);
+        }
+    };
+
+    time_point m_now{1h};
+    std::uint64_t m_next = 0;
+    std::priority_queue<due, std::vector<due>, std::greater<>> m_due;
+};
+
+/// Limits that a test sets.
+class sim_limits : public routing::limits_source {
+public:
+    [[nodiscard]] routing::team_limits team(const base::team_id& team) const override
+    {
+        const auto found = teams.find(team.str());
+        return found == teams.end() ? defaults : found->second;
+    }
+    [[nodiscard]] bool is_target_draining(const base::target_id& /*target*/) const override
+    {
+        return false;
+    }
+    [[nodiscard]] bool is_host_draining(const base::node_id& /*host*/) const override
+    {
+        return false;
+    }
+    [[nodiscard]] std::chrono::milliseconds longest_deadline() const override
+    {
+        return defaults.max_deadline;
+    }
+
+    routing::team_limits defaults;
+    std::map<std::string, routing::team_limits> teams;
+};
+
+/// What really happened at all targets, against which the guarantees are checked.
+struct sim_truth {
+    struct request {
+        std::string team;
+        std::string key; ///< Empty: none.
+        bool repeatable = true;
+        std::string body;
+        std::string host;
+        bool is_lost = false; ///< Its entry host crashed or the caller went away.
+        int answers = 0;
+        routing::outcome result = routing::outcome::unknown;
+        std::string code;
+    };
+
+    std::map<std::uint64_t, request> requests; ///< By caller.
+    std::map<std::string, int> starts_of_body;
+    std::map<std::string, int> starts_of_key;        ///< By team and idempotency key.
+    std::map<std::string, std::string> running_keys; ///< Team and work key to attempt.
+    std::map<std::string, int> running_of_team;
+    std::map<std::string, duration> time_of_team; ///< Slot time used.
+    std::uint64_t starts = 0;
+};
+
+} // namespace lovagebeam::test
