placement: first working scheduler

The daemon needs something to drive. Capacity and upper limits are checked in one place, cell::add_task, which aborts instead of booking more than a worker or a team may have. Free capacity is indexed by failure domain in buckets of a quarter doubling; waiting jobs are queued by team and size, so that a size that fits nowhere blocks only itself. When capacity is freed only that worker is filled again.

Ruled out: one queue in order of arrival or slack, since a job that fits nowhere would block it or make every event go over the whole queue. Ruled out: a virtual interface for the book of capacity; there is one right way to count.

Relational operators of strong numbers are avoided in headers because the linter reports the generated comparison as a null pointer.

--- /dev/null
+++ b/bench/placement_bench/main.cpp
@@ -0,0 +1,4 @@
+int main()
+{
+    return 0;
+}
--- a/include/lovagebeam/placement/decisions.h
+++ b/include/lovagebeam/placement/decisions.h
@@ -48,8 +48,9 @@
     reason why = reason::host_quarantined;
 };
 
-/// A placement that ended without a report from its worker (lost with its worker, or a move). The
-/// daemon removes it from the replicated state.
+/// A placement that ended without a report from its worker. The daemon removes it from the
+/// replicated state; with `ended_outcome_unknown` it records the outcome of the task as unknown,
+/// so that no later leader places it again.
 struct placement_released {
     base::task_id task;
     reason why = reason::ended_lost_with_worker;
--- a/include/lovagebeam/placement/events.h
+++ b/include/lovagebeam/placement/events.h
@@ -31,7 +31,8 @@
     bool draining = true;
 };
 
-/// A job was submitted. The scheduler answers with a `job_update` when it refuses the job.
+/// A job was submitted. The scheduler answers with a `job_update` when it refuses the job. A job
+/// that is known already has no effect.
 struct job_accepted {
     job_spec spec;
 };
--- a/include/lovagebeam/placement/reasons.h
+++ b/include/lovagebeam/placement/reasons.h
@@ -37,7 +37,6 @@
     refused_no_host_of_shape,
     refused_gang_larger_than_fleet,
     refused_above_team_limit,
-    refused_duplicate_job,
     // Preemptions and moves.
     preempted_for_urgent,
     preempted_for_share,
--- a/include/lovagebeam/placement/scheduler.h
+++ b/include/lovagebeam/placement/scheduler.h
@@ -8,6 +8,7 @@
 #include <chrono>
 #include <memory>
 #include <optional>
+#include <utility>
 #include <vector>
 
 namespace lovagebeam::placement {
@@ -16,6 +17,8 @@
 struct scheduler_settings {
     /// Time that a task may run without renewal.
     base::duration task_lease = std::chrono::seconds{10};
+    /// Longest time from a start command to its receipt. The daemon doesn't send it later.
+    base::duration start_transit = std::chrono::seconds{1};
     /// Bound on the drift between two monotonic clocks, as a fraction of the elapsed time.
     double clock_drift = 0.01;
     /// Part of each worker's processors that only urgent work may use.
@@ -44,6 +47,10 @@
     job_spec spec;
     /// Tasks that completed, by index.
     std::vector<std::uint32_t> completed;
+    /// Tasks whose outcome is unknown, by index: `placement_released` named them as such.
+    std::vector<std::uint32_t> unknown;
+    /// Tasks that ended as checkpointed and have not completed since, by index.
+    std::vector<std::uint32_t> checkpointed;
     bool cancelled = false;
 };
 
--- a/include/lovagebeam/placement/types.h
+++ b/include/lovagebeam/placement/types.h
@@ -31,7 +31,8 @@
     /// Tells whether this amount is at most `other` in every kind.
     [[nodiscard]] bool fits_in(const resources& other) const
     {
-        return cpu <= other.cpu && memory <= other.memory && devices <= other.devices;
+        return cpu.value() <= other.cpu.value() && memory.value() <= other.memory.value() &&
+               devices.value() <= other.devices.value();
     }
 };
 
--- /dev/null
+++ b/src/placement/implementation.cpp
@@ -0,0 +1,325 @@
+#include "implementation.h"
+
+#include <algorithm>
+
+namespace lovagebeam::placement {
+
+using internal::no_slot;
+using internal::slot;
+using internal::task_phase;
+using internal::task_record;
+using internal::worker_record;
+
+namespace {
+
+/// Teams whose queues each tick tries again, whatever blocked them. A safety net: the events that
+/// free capacity or limits already try what they can have unblocked.
+constexpr std::size_t swept_teams = 2;
+
+} // namespace
+
+scheduler::implementation::implementation(const scheduler_settings& settings,
+                                          const recovered_state& recovered, base::time_point now)
+    : m_state{settings}, m_queues{m_state}, m_preempt{m_state}, m_correct{m_state},
+      m_health{m_state}, m_gangs{m_state, m_queues, m_preempt},
+      m_jobs{m_state, m_queues, m_preempt, m_correct, m_health, m_gangs}, m_built{now}, m_last_tick{
+                                                                                            now}
+{
+    m_state.now = now;
+    m_queues.set_capacity_source(&m_preempt);
+    m_queues.set_generation(recovered.generation);
+    recover(recovered);
+}
+
+void scheduler::implementation::recover(const recovered_state& from)
+{
+    for (const auto& [team, settings] : from.teams) {
+        m_state.teams[m_state.team_for(team)].settings = settings;
+    }
+    for (const recovered_job& job : from.jobs) {
+        const slot at = m_jobs.add_job(job.spec);
+        auto& record = m_state.jobs[at];
+        for (const std::uint32_t index : job.completed) {
+            record.completed.at(index) = true;
+            ++record.completed_count;
+        }
+        for (const std::uint32_t index : job.unknown) {
+            record.unknown_tasks.at(index) = true;
+            record.unknown = true;
+        }
+        for (const std::uint32_t index : job.checkpointed) {
+            record.checkpointed.at(index) = true;
+        }
+        record.cancelled = job.cancelled;
+        record.told = job.cancelled;
+    }
+    for (const placed_task& placement : from.placements) {
+        task_record task;
+        task.id = placement.task;
+        task.job = m_state.find_job(placement.job);
+        task.team = task.job == no_slot ? no_slot : m_state.jobs[task.job].team;
+        task.worker = m_state.worker_for(placement.worker);
+        task.index = placement.index;
+        task.phase = task_phase::started;
+        task.recovered = true;
+        task.size = task.full_size = placement.size;
+        task.started = m_state.now;
+        task.lease_end = m_state.now + m_state.settings.start_transit + m_state.settings.task_lease;
+        m_state.adopt_task(std::move(task));
+        const slot job = m_state.find_job(placement.job);
+        if (job != no_slot) {
+            m_state.jobs[job].told = true;
+            m_state.jobs[job].state = job_state::running;
+            m_state.note(job, reason::recovered);
+        }
+    }
+    for (const recovered_job& job : from.jobs) {
+        if (!job.cancelled) {
+            m_jobs.make_pending(m_state.find_job(job.spec.id));
+        }
+    }
+}
+
+decisions scheduler::implementation::step(base::time_point now, const event& input)
+{
+    m_state.now = std::max(m_state.now, now);
+    std::visit([this](const auto& e) { handle(e); }, input);
+    m_queues.dispatch_freed();
+    decisions result = std::move(m_state.out);
+    m_state.out = decisions{};
+    return result;
+}
+
+void scheduler::implementation::handle(const tick&)
+{
+    const base::duration elapsed = m_state.now - m_last_tick;
+    m_last_tick = m_state.now;
+    m_jobs.on_tick(elapsed);
+    m_health.on_tick();
+    m_preempt.escalate();
+    m_queues.dispatch_freed();
+    m_gangs.on_tick();
+    m_queues.sweep(swept_teams);
+}
+
+void scheduler::implementation::handle(const worker_seen& input)
+{
+    const slot at = m_state.worker_for(input.worker);
+    worker_record& worker = m_state.workers[at];
+    const slot domain = m_state.domain_for(input.domain);
+    const slot rack = m_state.rack_for(input.rack);
+    if (worker.domain != domain || worker.rack != rack || !worker.present ||
+        !(worker.capacity == input.capacity)) {
+        if (worker.present) {
+            m_state.set_capacity(at, worker.capacity, false);
+        }
+        if (worker.quarantined && worker.domain != domain) {
+            --m_state.domains[worker.domain].quarantined;
+            ++m_state.domains[domain].quarantined;
+        }
+        worker.domain = domain;
+        worker.rack = rack;
+        m_state.set_capacity(at, input.capacity, true);
+        m_state.freed.push_back(at);
+    }
+    for (const task_report& report : input.running) {
+        take_report(at, report);
+    }
+    restart_unreported(at);
+    if (m_state.workers[at].draining) {
+        m_jobs.move_from(at);
+    }
+}
+
+void scheduler::implementation::take_report(slot worker, const task_report& report)
+{
+    const slot at = m_state.find_task(report.task);
+    if (at != no_slot && m_state.tasks[at].worker == worker) {
+        task_record& task = m_state.tasks[at];
+        if (task.phase != task_phase::proposed) {
+            task.lease_end = m_state.now + m_state.settings.task_lease;
+            m_jobs.on_running(at);
+            if (task.job == no_slot) {
+                return;
+            }
+            if (m_state.jobs[task.job].cancelled) {
+                m_preempt.stop(at, reason::stopped_cancelled);
+            }
+        }
+        return;
+    }
+    if (at != no_slot) {
+        return;
+    }
+    task_record task;
+    task.id = report.task;
+    task.worker = worker;
+    task.team = report.team ? m_state.team_for(*report.team) : no_slot;
+    task.unsized = !report.size.has_value();
+    task.size = task.full_size = report.size.value_or(resources{});
+    task.phase = task_phase::running;
+    task.started = m_state.now;
+    task.lease_end = m_state.now + m_state.settings.task_lease;
+    const slot adopted = m_state.adopt_task(std::move(task));
+    m_preempt.stop(adopted, reason::stopped_unknown_task);
+}
+
+void scheduler::implementation::restart_unreported(slot worker)
+{
+    const std::vector<slot> tasks = m_state.workers[worker].tasks;
+    for (const slot at : tasks) {
+        task_record& task = m_state.tasks[at];
+        if (!task.recovered) {
+            continue;
+        }
+        task.recovered = false;
+        // The earlier leader may not have told the worker. Workers treat a start with a known task
+        // id as the same start; work that may not be repeated is left alone, since a worker that
+        // restarted may have forgotten it.
+        if (task.job != no_slot && m_state.jobs[task.job].spec.repeatable &&
+            !m_state.jobs[task.job].cancelled) {
+            m_jobs.start(at);
+        }
+    }
+}
+
+void scheduler::implementation::handle(const worker_lost& input)
+{
+    const slot at = m_state.find_worker(input.worker);
+    if (at == no_slot || !m_state.workers[at].present) {
+        return;
+    }
+    m_state.set_capacity(at, m_state.workers[at].capacity, false);
+    m_health.on_lost(at);
+    for (const slot task : m_state.workers[at].tasks) {
+        if (m_state.tasks[task].job != no_slot) {
+            m_state.note(m_state.tasks[task].job, reason::waiting_for_lease, at);
+        }
+    }
+}
+
+void scheduler::implementation::handle(const worker_draining& input)
+{
+    const slot at = m_state.worker_for(input.worker);
+    if (m_state.workers[at].draining == input.draining) {
+        return;
+    }
+    m_state.workers[at].draining = input.draining;
+    m_state.refresh(at);
+    if (input.draining) {
+        m_jobs.move_from(at);
+    }
+    else {
+        m_state.freed.push_back(at);
+    }
+}
+
+std::optional<job_update> scheduler::implementation::refusal_of(const job_spec& spec)
+{
+    const auto refuse = [&spec](reason why, std::string detail) {
+        return job_update{spec.id, job_state::refused, why, std::move(detail)};
+    };
+    if (spec.id.empty() || spec.tasks == 0 || spec.size.cpu.value() <= 0 ||
+        spec.size.memory.value() < 0 || spec.size.devices.value() < 0) {
+        return refuse(reason::refused_invalid, "tasks and processors must be positive");
+    }
+    internal::job_record probe;
+    probe.spec = spec;
+    probe.team = m_state.team_for(spec.team);
+    const resources size = m_correct.size_of(probe);
+    const std::int64_t together = spec.kind == job_kind::gang ? spec.tasks : 1;
+    const resources total = internal::scaled(size, together);
+    if (!m_state.within_empty_limit(probe.team, total)) {
+        return refuse(reason::refused_above_team_limit,
+                      "needs " + internal::text_of(total) + " at once");
+    }
+    // Right after a leader change most workers have not announced themselves yet.
+    const bool fleet_known = m_state.now - m_built >= m_state.settings.task_lease;
+    if (!fleet_known) {
+        return std::nullopt;
+    }
+    if (!m_state.some_known_worker_holds(size)) {
+        return refuse(reason::refused_no_host_of_shape, "a task needs " + internal::text_of(size));
+    }
+    const std::int64_t held = m_state.tasks_held(size, false, together);
+    if (held < together) {
+        return refuse(reason::refused_gang_larger_than_fleet,
+                      "needs " + std::to_string(together) + " tasks of " + internal::text_of(size) +
+                          "; the fleet holds " + std::to_string(held));
+    }
+    return std::nullopt;
+}
+
+void scheduler::implementation::handle(const job_accepted& input)
+{
+    if (m_jobs.explain(input.spec.id).has_value()) {
+        return;
+    }
+    if (auto refusal = refusal_of(input.spec)) {
+        m_state.out.jobs.push_back(std::move(*refusal));
+        return;
+    }
+    m_jobs.make_pending(m_jobs.add_job(input.spec));
+}
+
+void scheduler::implementation::handle(const task_ended& input)
+{
+    const slot task = m_state.find_task(input.task);
+    const slot worker = task == no_slot ? no_slot : m_state.tasks[task].worker;
+    m_jobs.on_ended(input);
+    if (worker != no_slot) {
+        m_preempt.restore(worker);
+    }
+}
+
+void scheduler::implementation::handle(const lease_expired& input)
+{
+    m_jobs.on_lease_expired(input.task);
+}
+
+void scheduler::implementation::handle(const usage_reported& input)
+{
+    const slot at = m_state.find_task(input.task);
+    if (at == no_slot || m_state.tasks[at].job == no_slot) {
+        return;
+    }
+}
+
+void scheduler::implementation::handle(const task_throttled& input)
+{
+    const slot at = m_state.find_task(input.task);
+    if (at == no_slot || m_state.tasks[at].phase != task_phase::throttling) {
+        return;
+    }
+    task_record& task = m_state.tasks[at];
+    task.phase = task_phase::running;
+    resources reduced = task.size;
+    reduced.cpu = base::millicores{std::min(reduced.cpu.value(), input.size.cpu.value())};
+    task.throttled = true;
+    m_state.resize_task(at, reduced);
+}
+
+void scheduler::implementation::handle(const cancel_job& input)
+{
+    m_jobs.on_cancel(input.job);
+}
+
+void scheduler::implementation::handle(const decision_committed& input)
+{
+    m_jobs.on_committed(input.decision);
+}
+
+void scheduler::implementation::handle(const decision_failed& input)
+{
+    m_jobs.on_commit_failed(input.decision);
+}
+
+void scheduler::implementation::handle(const team_changed& input)
+{
+    const slot at = m_state.team_for(input.team);
+    m_state.teams[at].settings = input.settings;
+    m_state.teams[at].settings.share = std::max<std::int64_t>(1, input.settings.share);
+    m_state.relaxed.push_back(at);
+}
+
+} // namespace lovagebeam::placement
--- /dev/null
+++ b/src/placement/lifecycle.cpp
@@ -0,0 +1,509 @@
+#include "lifecycle.h"
+
+#include "gang_planner.h"
+
+#include <algorithm>
+
+namespace lovagebeam::placement::internal {
+
+namespace {
+
+/// A service that ends within this time of its start counts as crashed.
+constexpr base::duration crash_window = std::chrono::seconds{60};
+constexpr base::duration first_backoff = std::chrono::milliseconds{500};
+constexpr std::uint32_t longest_doubling = 6;
+/// Leases are checked in slices, so that one tick doesn't go over all tasks. Each lease is looked
+/// at once in this time; the delay only keeps capacity booked longer.
+constexpr base::duration lease_round = std::chrono::seconds{1};
+constexpr std::size_t kept_explanations = 10000;
+
+double seconds(base::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+lifecycle::lifecycle(cell& state, dispatcher& queues, preemptor& preempt, corrector& correct,
+                     health& standing, gang_planner& gangs)
+    : m_state{state}, m_queues{queues}, m_preempt{preempt}, m_correct{correct}, m_health{standing},
+      m_gangs{gangs}
+{
+}
+
+slot lifecycle::add_job(const job_spec& spec)
+{
+    job_record job;
+    job.spec = spec;
+    job.team = m_state.team_for(spec.team);
+    job.accepted = m_state.now;
+    job.completed.resize(spec.tasks);
+    job.checkpointed.resize(spec.tasks);
+    job.unknown_tasks.resize(spec.tasks);
+    job.size = spec.size;
+    job.run_time = spec.run_time;
+    job.in_use = true;
+    const slot at = m_state.jobs.add(std::move(job));
+    m_state.job_by_id[spec.id.str()] = at;
+    return at;
+}
+
+void lifecycle::make_pending(slot at)
+{
+    job_record& job = m_state.jobs[at];
+    m_queues.set_size(at, m_correct.size_of(job));
+    job.run_time = m_correct.run_time_of(job);
+    for (std::uint32_t i = job.spec.tasks; i-- > 0;) {
+        if (!job.completed[i] && !job.unknown_tasks[i] && !has_placement(at, i)) {
+            m_queues.add_pending(at, i);
+        }
+    }
+    if (job.spec.kind == job_kind::gang) {
+        m_gangs.add(at);
+    }
+    else if (!job.pending.empty()) {
+        m_queues.enqueue(at);
+        m_queues.dispatch_new(at);
+    }
+}
+
+bool lifecycle::has_placement(slot at, std::uint32_t index) const
+{
+    const job_record& job = m_state.jobs[at];
+    return std::any_of(job.placements.begin(), job.placements.end(),
+                       [&](slot task) { return m_state.tasks[task].index == index; });
+}
+
+void lifecycle::start(slot at)
+{
+    task_record& task = m_state.tasks[at];
+    job_record& job = m_state.jobs[task.job];
+    if (job.state == job_state::waiting) {
+        job.state = job_state::running;
+        m_state.out.jobs.push_back({job.spec.id, job.state, job.why, {}});
+    }
+    job.told = true;
+    task.phase = task_phase::started;
+    task.started = m_state.now;
+    task.lease_end = m_state.now + m_state.settings.start_transit + m_state.settings.task_lease;
+    worker_command command;
+    command.task = task.id;
+    command.job = job.spec.id;
+    command.index = task.index;
+    command.worker = m_state.workers[task.worker].id;
+    command.size = task.size;
+    command.lease = m_state.settings.task_lease;
+    command.from_checkpoint = job.checkpointed[task.index];
+    command.why = job.why;
+    m_state.out.commands.push_back(std::move(command));
+}
+
+void lifecycle::on_committed(decision_id id)
+{
+    for (const slot at : m_queues.take_proposal(id)) {
+        const task_record& task = m_state.tasks[at];
+        const bool gone = !m_state.workers[task.worker].present;
+        if (m_state.jobs[task.job].cancelled || m_state.jobs[task.job].restarting || gone) {
+            m_state.out.released.push_back({task.id, m_state.jobs[task.job].cancelled
+                                                         ? reason::ended_cancelled_not_run
+                                                         : reason::ended_lost_with_worker});
+            end(at, end_kind::never_told);
+        }
+        else {
+            start(at);
+        }
+    }
+}
+
+void lifecycle::on_commit_failed(decision_id id)
+{
+    for (const slot at : m_queues.take_proposal(id)) {
+        m_state.note(m_state.tasks[at].job, reason::ended_commit_failed);
+        end(at, end_kind::never_told);
+    }
+}
+
+void lifecycle::on_ended(const task_ended& report)
+{
+    const slot at = m_state.find_task(report.task);
+    if (at == no_slot || m_state.tasks[at].phase == task_phase::proposed) {
+        return;
+    }
+    const task_record& task = m_state.tasks[at];
+    if (task.job != no_slot && report.outcome == task_outcome::completed) {
+        m_correct.learn(m_state.jobs[task.job], report.run_time, report.peak);
+    }
+    switch (report.outcome) {
+    case task_outcome::completed:
+        return end(at, end_kind::completed);
+    case task_outcome::failed:
+        return end(at, end_kind::failed);
+    case task_outcome::checkpointed:
+        return end(at, end_kind::checkpointed);
+    case task_outcome::stopped:
+        return end(at, end_kind::stopped);
+    case task_outcome::refused:
+        return end(at, end_kind::refused);
+    }
+}
+
+void lifecycle::end(slot at, end_kind how)
+{
+    const task_record task = m_state.tasks[at];
+    const bool lost = how == end_kind::lost;
+    m_state.remove_task(at);
+    if (task.job == no_slot) {
+        return;
+    }
+    if (lost) {
+        const bool unknown = !m_state.jobs[task.job].spec.repeatable;
+        m_state.out.released.push_back(
+            {task.id, unknown ? reason::ended_outcome_unknown : reason::ended_lost_with_worker});
+    }
+    job_record& job = m_state.jobs[task.job];
+    const bool ran_long = how != end_kind::never_told && m_state.now - task.started > crash_window;
+    if (job.spec.kind == job_kind::service && ran_long) {
+        job.crashes = 0;
+        job.failed_on.clear();
+        // A service that ran for long and fails is restarted like one that ended.
+        how = how == end_kind::failed ? end_kind::completed : how;
+    }
+    react(task.job, task.index, task.worker, how, task.moving);
+    settle(task.job);
+}
+
+void lifecycle::react(slot at, std::uint32_t index, slot worker, end_kind how, bool moved)
+{
+    job_record& job = m_state.jobs[at];
+    const bool ran = how != end_kind::refused && how != end_kind::never_told;
+    if (how == end_kind::completed) {
+        m_health.on_success(at, worker);
+    }
+    if (how == end_kind::completed && job.spec.kind != job_kind::service) {
+        job.completed_count += job.completed[index] ? 0 : 1;
+        job.completed[index] = true;
+        return;
+    }
+    if (how == end_kind::refused) {
+        m_health.on_refusal(at, worker);
+    }
+    if (ran && !job.spec.repeatable) {
+        if (how == end_kind::failed) {
+            m_health.on_failure(at, worker);
+            m_state.note(at, reason::ended_failed, worker);
+            give_up(at);
+        }
+        else {
+            mark_unknown(at, index);
+        }
+        return;
+    }
+    if (job.cancelled || job.state == job_state::failed) {
+        return;
+    }
+    job.checkpointed[index] = job.checkpointed[index] || how == end_kind::checkpointed;
+    if (how == end_kind::failed && m_health.on_failure(at, worker)) {
+        m_state.note(at, reason::ended_fails_everywhere, worker);
+        give_up(at);
+        return;
+    }
+    if (moved && has_placement(at, index)) {
+        return;
+    }
+    requeue(at, index, worker, how);
+}
+
+void lifecycle::mark_unknown(slot at, std::uint32_t index)
+{
+    job_record& job = m_state.jobs[at];
+    job.unknown = true;
+    job.unknown_tasks[index] = true;
+    m_state.note(at, reason::ended_outcome_unknown);
+}
+
+void lifecycle::give_up(slot at)
+{
+    job_record& job = m_state.jobs[at];
+    job.state = job_state::failed;
+    m_queues.drop_pending(at);
+    m_gangs.remove(at);
+    const std::vector<slot> placements = job.placements;
+    for (const slot task : placements) {
+        m_preempt.stop(task, job.why);
+    }
+}
+
+void lifecycle::requeue(slot at, std::uint32_t index, slot worker, end_kind how)
+{
+    job_record& job = m_state.jobs[at];
+    const bool waits =
+        std::find(job.pending.begin(), job.pending.end(), index) != job.pending.end();
+    if (waits || has_placement(at, index)) {
+        return;
+    }
+    if (job.spec.kind == job_kind::gang) {
+        on_gang_task_lost(at);
+    }
+    else if (how == end_kind::lost && m_health.vanished(worker) &&
+             job.spec.kind != job_kind::urgent) {
+        m_paced.emplace_back(job.spec.id, index);
+        m_state.note(at, reason::waiting_paced_replacement);
+    }
+    else if (how == end_kind::never_told) {
+        // The next tick tries again; at once would loop while nothing can be committed.
+        delay(at, index, {}, reason::waiting_for_commit);
+    }
+    else if (how == end_kind::failed || how == end_kind::completed) {
+        const std::uint32_t doublings = std::min(job.crashes++, longest_doubling);
+        delay(at, index, first_backoff * (1U << doublings), reason::waiting_restart_backoff);
+    }
+    else {
+        make_waiting(at, index);
+    }
+}
+
+void lifecycle::delay(slot at, std::uint32_t index, base::duration time, reason why)
+{
+    m_delayed.push({m_state.now + time, m_next_delayed++, m_state.jobs[at].spec.id, index});
+    m_state.note(at, why);
+}
+
+void lifecycle::make_waiting(slot at, std::uint32_t index)
+{
+    job_record& job = m_state.jobs[at];
+    if (job.pending.empty()) {
+        job.parked = false;
+        m_queues.set_size(at, m_correct.size_of(job));
+        job.run_time = m_correct.run_time_of(job);
+    }
+    else {
+        m_queues.withdraw(at);
+    }
+    m_queues.add_pending(at, index);
+    m_queues.enqueue(at);
+    m_queues.dispatch_new(at);
+}
+
+void lifecycle::on_gang_task_lost(slot at)
+{
+    job_record& job = m_state.jobs[at];
+    // The tasks of a gang are of use only together, so the others end and all wait again.
+    job.restarting = true;
+    m_state.note(at, reason::waiting_for_gang);
+    const std::vector<slot> placements = job.placements;
+    for (const slot task : placements) {
+        if (!m_preempt.checkpoint(task, reason::preempted_for_gang)) {
+            m_preempt.stop(task, reason::preempted_for_gang);
+        }
+    }
+}
+
+void lifecycle::settle(slot at)
+{
+    job_record& job = m_state.jobs[at];
+    if (!job.in_use || !job.placements.empty()) {
+        return;
+    }
+    const auto unknown = std::count(job.unknown_tasks.begin(), job.unknown_tasks.end(), true);
+    if (job.cancelled) {
+        if (job.unknown) {
+            return finish(at, job_state::unknown, reason::ended_outcome_unknown);
+        }
+        return job.told ? finish(at, job_state::cancelled, reason::ended_cancelled)
+                        : finish(at, job_state::not_run, reason::ended_cancelled_not_run);
+    }
+    if (job.state == job_state::failed) {
+        return finish(at, job_state::failed, job.why);
+    }
+    if (job.completed_count == job.spec.tasks) {
+        return finish(at, job_state::completed, reason::ended_completed);
+    }
+    if (job.completed_count + static_cast<std::uint32_t>(unknown) >= job.spec.tasks) {
+        return finish(at, job_state::unknown, reason::ended_outcome_unknown);
+    }
+    if (job.restarting) {
+        job.restarting = false;
+        make_pending(at);
+    }
+}
+
+void lifecycle::finish(slot at, job_state state, reason why)
+{
+    m_queues.drop_pending(at);
+    m_gangs.remove(at);
+    m_state.note(at, why);
+    job_record& job = m_state.jobs[at];
+    job.state = state;
+    m_state.out.jobs.push_back({job.spec.id, state, why, {}});
+    m_final[job.spec.id.str()] = describe(at);
+    m_final_order.push_back(job.spec.id);
+    if (m_final_order.size() > kept_explanations) {
+        m_final.erase(m_final_order.front().str());
+        m_final_order.pop_front();
+    }
+    m_state.job_by_id.erase(job.spec.id.str());
+    m_state.jobs.remove(at);
+}
+
+void lifecycle::on_cancel(const base::job_id& id)
+{
+    const slot at = m_state.find_job(id);
+    if (at == no_slot || m_state.jobs[at].cancelled) {
+        return;
+    }
+    job_record& job = m_state.jobs[at];
+    job.cancelled = true;
+    m_queues.drop_pending(at);
+    m_gangs.remove(at);
+    for (const slot task : job.placements) {
+        m_preempt.stop(task, reason::stopped_cancelled);
+    }
+    settle(at);
+}
+
+void lifecycle::on_lease_expired(const base::task_id& id)
+{
+    const slot at = m_state.find_task(id);
+    if (at != no_slot && m_state.tasks[at].phase != task_phase::proposed) {
+        task_record& task = m_state.tasks[at];
+        task.lease_end = std::min(task.lease_end, m_state.now);
+    }
+}
+
+void lifecycle::on_running(slot at)
+{
+    task_record& task = m_state.tasks[at];
+    task.recovered = false;
+    if (task.phase == task_phase::started) {
+        task.phase = task_phase::running;
+    }
+    if (task.job == no_slot) {
+        return;
+    }
+    const job_record& job = m_state.jobs[task.job];
+    if (task.phase != task_phase::running || job.spec.kind != job_kind::service || task.moving) {
+        return;
+    }
+    const std::vector<slot> placements = job.placements;
+    for (const slot other : placements) {
+        if (other != at && m_state.tasks[other].index == m_state.tasks[at].index &&
+            m_state.tasks[other].moving) {
+            m_preempt.stop(other, reason::stopped_replaced);
+        }
+    }
+}
+
+void lifecycle::move_from(slot worker)
+{
+    const std::vector<slot> tasks = m_state.workers[worker].tasks;
+    for (const slot at : tasks) {
+        task_record& task = m_state.tasks[at];
+        if (task.job == no_slot || task.moving || task.phase == task_phase::proposed) {
+            continue;
+        }
+        const job_record& job = m_state.jobs[task.job];
+        if (job.cancelled || !job.spec.repeatable) {
+            continue;
+        }
+        if (job.spec.kind == job_kind::service) {
+            task.moving = true;
+            m_state.note(task.job, reason::moved_for_drain, worker);
+            const std::uint32_t index = task.index;
+            make_waiting(task.job, index);
+        }
+        else if (job.spec.kind == job_kind::batch) {
+            m_preempt.checkpoint(at, reason::moved_for_drain);
+        }
+    }
+}
+
+void lifecycle::on_tick(base::duration elapsed)
+{
+    check_leases(elapsed);
+    release_delayed();
+    release_paced(elapsed);
+}
+
+bool lifecycle::is_due(const task_record& task) const
+{
+    if (task.lease_end == never || task.id.empty()) {
+        return false;
+    }
+    const auto drift = std::chrono::duration_cast<base::duration>(
+        (m_state.settings.task_lease + m_state.settings.start_transit) *
+        m_state.settings.clock_drift);
+    return m_state.now > task.lease_end + drift;
+}
+
+void lifecycle::check_leases(base::duration elapsed)
+{
+    const double part = std::min(1.0, seconds(elapsed) / seconds(lease_round));
+    const auto count = static_cast<slot>(part * m_state.tasks.size()) + 1;
+    for (slot i = 0; i < std::min(count, m_state.tasks.size()); ++i) {
+        m_next_lease = (m_next_lease + 1) % m_state.tasks.size();
+        if (is_due(m_state.tasks[m_next_lease])) {
+            end(m_next_lease, end_kind::lost);
+        }
+    }
+}
+
+void lifecycle::release_delayed()
+{
+    while (!m_delayed.empty() && m_delayed.top().when <= m_state.now) {
+        const delayed next = m_delayed.top();
+        m_delayed.pop();
+        const slot at = m_state.find_job(next.job);
+        if (at != no_slot && !m_state.jobs[at].cancelled &&
+            m_state.jobs[at].state != job_state::failed) {
+            make_waiting(at, next.index);
+        }
+    }
+}
+
+void lifecycle::release_paced(base::duration elapsed)
+{
+    const double rate = m_state.settings.paced_replacements;
+    m_paced_allowance = std::min(rate, m_paced_allowance + rate * seconds(elapsed));
+    while (!m_paced.empty() && m_paced_allowance >= 1.0) {
+        const auto [id, index] = m_paced.front();
+        m_paced.pop_front();
+        const slot at = m_state.find_job(id);
+        if (at == no_slot || m_state.jobs[at].cancelled ||
+            m_state.jobs[at].state == job_state::failed) {
+            continue;
+        }
+        m_paced_allowance -= 1.0;
+        make_waiting(at, index);
+    }
+}
+
+explanation lifecycle::describe(slot at) const
+{
+    const job_record& job = m_state.jobs[at];
+    explanation result;
+    result.job = job.spec.id;
+    result.state = job.state;
+    result.why = job.why;
+    result.detail = "size=[" + text_of(job.size) + "] team=" + job.spec.team.str();
+    result.waiting = static_cast<std::uint32_t>(job.pending.size());
+    result.running = static_cast<std::uint32_t>(job.placements.size());
+    result.completed = job.completed_count;
+    for (const history_entry& entry : job.history.oldest_first()) {
+        result.history.push_back(
+            {entry.when, entry.why,
+             entry.worker == no_slot ? base::worker_id{} : m_state.workers[entry.worker].id});
+    }
+    return result;
+}
+
+std::optional<explanation> lifecycle::explain(const base::job_id& id) const
+{
+    const slot at = m_state.find_job(id);
+    if (at != no_slot) {
+        return describe(at);
+    }
+    const auto final = m_final.find(id.str());
+    return final == m_final.end() ? std::nullopt : std::optional{final->second};
+}
+
+} // namespace lovagebeam::placement::internal
--- /dev/null
+++ b/src/placement/preemptor.cpp
@@ -0,0 +1,232 @@
+#include "preemptor.h"
+
+#include <algorithm>
+
+namespace lovagebeam::placement::internal {
+
+namespace {
+
+/// Workers that are compared for one urgent task. More did not lower the lost work further.
+constexpr slot compared_workers = 96;
+
+/// A throttled task keeps this part of its processors.
+constexpr std::int64_t throttle_divisor = 2;
+
+/// Costs in seconds of lost work, which keep the order checkpoint, throttle, stop apart from how
+/// long the tasks ran.
+constexpr double checkpoint_cost = 1.0;
+constexpr double throttle_cost = 1e4;
+constexpr double stop_cost = 1e6;
+/// A service is interrupted after batch work of the same step.
+constexpr double service_cost = 5e3;
+
+bool is_active(const task_record& task)
+{
+    return task.phase == task_phase::started || task.phase == task_phase::running;
+}
+
+double seconds(base::duration value)
+{
+    return std::chrono::duration<double>(value).count();
+}
+
+} // namespace
+
+void preemptor::send(slot at, command_kind kind, reason why)
+{
+    const task_record& task = m_state.tasks[at];
+    worker_command command;
+    command.kind = kind;
+    command.task = task.id;
+    command.job = task.job == no_slot ? base::job_id{} : m_state.jobs[task.job].spec.id;
+    command.index = task.index;
+    command.worker = m_state.workers[task.worker].id;
+    command.size = task.size;
+    command.why = why;
+    if (task.job != no_slot) {
+        m_state.note(task.job, why, task.worker);
+    }
+    m_state.out.commands.push_back(std::move(command));
+}
+
+void preemptor::watch(slot at, base::duration patience)
+{
+    m_state.tasks[at].escalate = m_state.now + patience;
+    m_watched.emplace_back(at, m_state.tasks[at].id);
+}
+
+bool preemptor::checkpoint(slot at, reason why)
+{
+    task_record& task = m_state.tasks[at];
+    if (task.job == no_slot || !is_active(task)) {
+        return false;
+    }
+    const job_spec& spec = m_state.jobs[task.job].spec;
+    if (!spec.can_checkpoint || !spec.repeatable) {
+        return false;
+    }
+    task.phase = task_phase::checkpointing;
+    task.preempted_for = why;
+    send(at, command_kind::checkpoint, why);
+    if (why == reason::preempted_for_urgent) {
+        watch(at, m_state.settings.checkpoint_patience);
+    }
+    return true;
+}
+
+void preemptor::stop(slot at, reason why)
+{
+    task_record& task = m_state.tasks[at];
+    if (task.phase == task_phase::proposed || task.phase == task_phase::stopping) {
+        return;
+    }
+    task.phase = task_phase::stopping;
+    send(at, command_kind::stop, why);
+}
+
+void preemptor::throttle(slot at)
+{
+    task_record& task = m_state.tasks[at];
+    task.phase = task_phase::throttling;
+    task.throttled_once = true;
+    send(at, command_kind::throttle, reason::throttled_for_urgent);
+    worker_command& command = m_state.out.commands.back();
+    command.size.cpu = base::millicores{task.size.cpu.value() / throttle_divisor};
+    watch(at, m_state.settings.checkpoint_patience);
+}
+
+std::vector<preemptor::step> preemptor::steps_on(slot worker) const
+{
+    std::vector<step> result;
+    for (const slot at : m_state.workers[worker].tasks) {
+        const task_record& task = m_state.tasks[at];
+        if (task.job == no_slot || !is_active(task)) {
+            continue;
+        }
+        const job_spec& spec = m_state.jobs[task.job].spec;
+        if (spec.kind == job_kind::urgent || spec.kind == job_kind::gang) {
+            continue;
+        }
+        const double extra = spec.kind == job_kind::service ? service_cost : 0.0;
+        const double ran = seconds(m_state.now - task.started);
+        if (spec.can_checkpoint && spec.repeatable) {
+            result.push_back({at, command_kind::checkpoint, checkpoint_cost + extra, task.size});
+        }
+        else if (spec.can_throttle && !task.throttled_once) {
+            resources freed;
+            freed.cpu = task.size.cpu - base::millicores{task.size.cpu.value() / throttle_divisor};
+            result.push_back({at, command_kind::throttle, throttle_cost + extra, freed});
+        }
+        else if (spec.repeatable) {
+            result.push_back({at, command_kind::stop, stop_cost + extra + ran, task.size});
+        }
+    }
+    std::sort(result.begin(), result.end(),
+              [](const step& left, const step& right) { return left.cost < right.cost; });
+    return result;
+}
+
+preemptor::plan preemptor::plan_on(slot worker, const resources& size) const
+{
+    plan result;
+    resources free = m_state.index.urgent_free(worker);
+    for (const step& next : steps_on(worker)) {
+        if (size.fits_in(free)) {
+            break;
+        }
+        free += next.freed;
+        result.cost += next.cost;
+        result.steps.push_back(next);
+    }
+    if (size.fits_in(free)) {
+        result.worker = worker;
+    }
+    return result;
+}
+
+void preemptor::make_room(slot job_at)
+{
+    job_record& job = m_state.jobs[job_at];
+    const base::duration wait = m_state.settings.checkpoint_patience * 2;
+    if (job.claimed != base::time_point{} && m_state.now < job.claimed + wait) {
+        return;
+    }
+    job.claimed = m_state.now;
+    plan best;
+    const slot fleet = m_state.index.size();
+    slot compared = 0;
+    for (slot i = 0; i < fleet && (compared < compared_workers || best.worker == no_slot); ++i) {
+        m_next_worker = (m_next_worker + 1) % fleet;
+        const worker_record& worker = m_state.workers[m_next_worker];
+        if (!m_state.usable(worker) || m_state.now < worker.claimed_until ||
+            !job.size.fits_in(worker.capacity)) {
+            continue;
+        }
+        ++compared;
+        plan next = plan_on(m_next_worker, job.size);
+        if (next.worker != no_slot && (best.worker == no_slot || next.cost < best.cost)) {
+            best = std::move(next);
+        }
+    }
+    if (best.worker == no_slot) {
+        m_state.note(job_at, reason::waiting_for_capacity);
+        return;
+    }
+    m_state.workers[best.worker].claimed_until = m_state.now + wait;
+    m_state.note(job_at, reason::waiting_for_preemption);
+    for (const step& next : best.steps) {
+        switch (next.kind) {
+        case command_kind::checkpoint:
+            checkpoint(next.task, reason::preempted_for_urgent);
+            break;
+        case command_kind::throttle:
+            throttle(next.task);
+            break;
+        default:
+            stop(next.task, reason::stopped_for_urgent);
+        }
+    }
+}
+
+void preemptor::escalate()
+{
+    std::erase_if(m_watched, [this](const auto& watched) {
+        const auto& [at, id] = watched;
+        if (at >= m_state.tasks.size() || m_state.tasks[at].id != id) {
+            return true;
+        }
+        task_record& task = m_state.tasks[at];
+        if (task.phase != task_phase::checkpointing && task.phase != task_phase::throttling) {
+            return true;
+        }
+        if (m_state.now < task.escalate) {
+            return false;
+        }
+        if (m_state.jobs[task.job].spec.repeatable) {
+            stop(at, reason::stopped_checkpoint_overdue);
+        }
+        return true;
+    });
+}
+
+void preemptor::restore(slot worker)
+{
+    if (m_state.waiting_urgent > 0 || !m_state.usable(m_state.workers[worker])) {
+        return;
+    }
+    const std::vector<slot> tasks = m_state.workers[worker].tasks;
+    for (const slot at : tasks) {
+        task_record& task = m_state.tasks[at];
+        if (!task.throttled || !is_active(task)) {
+            continue;
+        }
+        const resources more = task.full_size - task.size;
+        if (more.fits_in(m_state.index.free(worker)) && m_state.within_limit(task.team, more)) {
+            m_state.resize_task(at, task.full_size);
+            task.throttled = false;
+            send(at, command_kind::unthrottle, reason::restored_full_speed);
+        }
+    }
+}
+
+} // namespace lovagebeam::placement::internal
