--- a/include/lovagebeam/daemon/host.h
+++ b/include/lovagebeam/daemon/host.h
@@ -10,8 +10,8 @@
 namespace lovagebeam::daemon {
 
 /// Prepares the empty data folder of one of the first voters of a new group. Done once, at the
-/// installation: a host that starts with an empty folder otherwise waits to be added to the existing
-/// group under a new identity, since its votes of an earlier life may be lost. Fails with
+/// installation: a host that starts with an empty folder otherwise waits to be added to the
+/// existing group under a new identity, since its votes of an earlier life may be lost. Fails with
 /// `already_exists` or a storage error.
 absl::Status init_group(const settings::daemon_settings& settings);
 
--- a/programs/lovagebeamctl/commands.cpp
+++ b/programs/lovagebeamctl/commands.cpp
@@ -159,54 +159,54 @@
     return absl::OkStatus();
 }
 
-absl::Status config_command(api_client& client, const call_options& options, const words& words)
+absl::Status config_command(api_client& client, const call_options& options, const words& given)
 {
-    if (words.size() == 2 && words[1] == "show") {
+    if (given.size() == 2 && given[1] == "show") {
         return show(client, options, "/v1/config", "");
     }
-    if (words.size() == 3 && (words[1] == "apply" || words[1] == "diff")) {
-        const auto document = read_document(words[2]);
+    if (given.size() == 3 && (given[1] == "apply" || given[1] == "diff")) {
+        const auto document = read_document(given[2]);
         if (!document.ok()) {
             return document.status();
         }
-        return words[1] == "apply" ? apply_document(client, options, *document)
+        return given[1] == "apply" ? apply_document(client, options, *document)
                                    : diff_document(client, *document);
     }
     return usage("expected: config show | config diff FILE | config apply FILE");
 }
 
-absl::Status keys_command(api_client& client, const call_options& options, const words& words)
+absl::Status keys_command(api_client& client, const call_options& options, const words& given)
 {
-    if (words.size() == 2 && words[1] == "list") {
+    if (given.size() == 2 && given[1] == "list") {
         return show(client, options, "/v1/keys", "keys");
     }
-    if (words.size() != 3 || (words[1] != "give" && words[1] != "withdraw")) {
+    if (given.size() != 3 || (given[1] != "give" && given[1] != "withdraw")) {
         return usage("expected: keys list | keys give TEAM | keys withdraw KEY_ID");
     }
     const auto call = make_call(client, options);
     if (!call.ok()) {
         return call.status();
     }
-    if (words[1] == "give") {
+    if (given[1] == "give") {
         return send_change(client, options, "POST", "/v1/keys",
-                           operators::encode(operators::key_grant{*call, base::team_id{words[2]}}));
+                           operators::encode(operators::key_grant{*call, base::team_id{given[2]}}));
     }
-    return send_change(client, options, "DELETE", "/v1/keys/" + targets::percent_encode(words[2]),
+    return send_change(client, options, "DELETE", "/v1/keys/" + targets::percent_encode(given[2]),
                        operators::encode(*call));
 }
 
 // Draining is an exception like any other, so that it has a reason and is in the audit trail.
-absl::Status drain_command(api_client& client, const call_options& options, const words& words)
+absl::Status drain_command(api_client& client, const call_options& options, const words& given)
 {
-    const bool is_drain = words[0] == "drain";
-    if (words.size() != 3 || (words[1] != "host" && words[1] != "target")) {
-        return usage("expected: " + words[0] + " host|target ID");
+    const bool is_drain = given[0] == "drain";
+    if (given.size() != 3 || (given[1] != "host" && given[1] != "target")) {
+        return usage("expected: " + given[0] + " host|target ID");
     }
     auto document = present_document(client);
     if (!document.ok()) {
         return document.status();
     }
-    const std::string scope = words[1] + ":" + words[2];
+    const std::string scope = given[1] + ":" + given[2];
     auto found = std::ranges::find(document->exceptions, scope, &state::config_exception::scope);
     if (found == document->exceptions.end()) {
         if (!is_drain) {
@@ -222,12 +222,12 @@
     return apply_document(client, options, *document);
 }
 
-absl::Status explain_command(api_client& client, const call_options& options, const words& words)
+absl::Status explain_command(api_client& client, const call_options& options, const words& given)
 {
-    if (words.size() == 3 && words[1] == "job") {
-        return show(client, options, "/v1/explain/jobs/" + targets::percent_encode(words[2]), "");
+    if (given.size() == 3 && given[1] == "job") {
+        return show(client, options, "/v1/explain/jobs/" + targets::percent_encode(given[2]), "");
     }
-    if (words.size() == 2 && words[1] == "teams") {
+    if (given.size() == 2 && given[1] == "teams") {
         const auto text = client.call_text("GET", "/v1/explain/teams");
         if (!text.ok()) {
             return text.status();
@@ -264,24 +264,24 @@
     return out;
 }
 
-absl::Status run_command(api_client& client, const call_options& options, const words& words)
+absl::Status run_command(api_client& client, const call_options& options, const words& given)
 {
-    const std::string& name = words.front();
+    const std::string& name = given.front();
     const auto* const list = std::ranges::find(list_table, name, &list_command::name);
-    if (list != list_table.end() && words.size() == 1) {
+    if (list != list_table.end() && given.size() == 1) {
         return show(client, options, std::string{list->path}, list->field);
     }
     if (name == "config") {
-        return config_command(client, options, words);
+        return config_command(client, options, given);
     }
     if (name == "keys") {
-        return keys_command(client, options, words);
+        return keys_command(client, options, given);
     }
     if (name == "drain" || name == "undrain") {
-        return drain_command(client, options, words);
+        return drain_command(client, options, given);
     }
     if (name == "explain") {
-        return explain_command(client, options, words);
+        return explain_command(client, options, given);
     }
     return usage("unknown command \"" + name + "\"");
 }
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -63,9 +63,8 @@
         return log.status();
     }
     implementation::secrets known{*std::move(cluster), *std::move(credential)};
-    return std::unique_ptr<host>{new host{
-        std::make_unique<implementation>(std::move(settings), std::move(known), run,
-                                         *std::move(log), std::chrono::steady_clock::now())}};
+    return std::unique_ptr<host>{new host{std::make_unique<implementation>(
+        std::move(settings), std::move(known), run, std::move(files), *std::move(log))}};
 }
 
 absl::Status init_group(const settings::daemon_settings& settings)
@@ -84,9 +83,13 @@
     return m_parts->stop();
 }
 
-host::implementation::implementation(settings::daemon_settings settings, secrets known, std::uint64_t run, std::unique_ptr<storage::file_system> files, opened_log log)
-    : m_settings{std::move(settings)}, m_run{run}, m_files{std::move(files)}, m_links{m_settings, known.cluster, run, m_loop,
-                                                           m_metrics},
+host::implementation::implementation(settings::daemon_settings settings, secrets known,
+                                     std::uint64_t run, std::unique_ptr<storage::file_system> files,
+                                     opened_log log)
+    : m_settings{std::move(settings)}, m_run{run}, m_files{std::move(files)}, m_links{m_settings,
+                                                                                      known.cluster,
+                                                                                      run, m_loop,
+                                                                                      m_metrics},
       m_writer{make_writer(std::move(log.store), m_loop)},
       m_log{{m_settings.node, std::move(log.replica), std::move(log.state), std::move(log.snapshot),
              std::move(log.snapshot_bytes), &m_links, m_writer.get(), this}},
--- a/src/daemon/host_parts.h
+++ b/src/daemon/host_parts.h
@@ -33,7 +33,8 @@
         std::string operator_credential;
     };
 
-    implementation(settings::daemon_settings settings, secrets known, std::uint64_t run, std::unique_ptr<storage::file_system> files, opened_log log);
+    implementation(settings::daemon_settings settings, secrets known, std::uint64_t run,
+                   std::unique_ptr<storage::file_system> files, opened_log log);
     ~implementation() override;
 
     absl::Status start();
--- a/src/daemon/log_storage.cpp
+++ b/src/daemon/log_storage.cpp
@@ -6,13 +6,14 @@
 #include "memory_writer.h"
 #include "storage_thread.h"
 
+#include <sodium.h>
+#include <xxhash.h>
+
 #include <algorithm>
 #include <chrono>
 #include <limits>
-#include <sodium.h>
 #include <utility>
 #include <vector>
-#include <xxhash.h>
 
 namespace lovagebeam::daemon {
 namespace {
@@ -89,8 +90,8 @@
     if (found.snapshot.index.value() == 0) {
         return absl::OkStatus();
     }
-    auto bytes = found.store->read_snapshot(
-        found.snapshot.index, 0, static_cast<std::size_t>(found.snapshot.size.value()));
+    auto bytes = found.store->read_snapshot(found.snapshot.index, 0,
+                                            static_cast<std::size_t>(found.snapshot.size.value()));
     if (!bytes.ok()) {
         return bytes.status();
     }
@@ -168,8 +169,7 @@
         return make_error(error_code::invalid_settings,
                           settings.node.str() + " isn't a voter and has no data folder");
     }
-    const auto found =
-        open_store(settings, files, first_incarnation(settings, settings.node));
+    const auto found = open_store(settings, files, first_incarnation(settings, settings.node));
     if (!found.ok()) {
         return found.status();
     }
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -79,8 +79,8 @@
            result.body.find(base::name_of(error_code::stale_epoch)) != std::string::npos;
 }
 
-routing::fence_answered fence_result(const routing::fence_target& sent,
-                                     const targets::http_result& result)
+routing::fence_answered fence_event(const routing::fence_target& sent,
+                                    const targets::http_result& result)
 {
     routing::fence_answered event;
     event.target = sent.target;
@@ -89,12 +89,12 @@
         return event;
     }
     if (result.status == 409) {
-        event.result = routing::fence_answered::result::stale;
+        event.result = routing::fence_result::stale;
         return event;
     }
     const auto answer = targets::decode_fence_answer(result.body);
     if (result.status == 200 && answer.ok()) {
-        event.result = routing::fence_answered::result::fenced;
+        event.result = routing::fence_result::fenced;
         event.running = to_routing(answer->running);
     }
     return event;
@@ -319,7 +319,7 @@
     auto call = targets::make_fence_call(where, {effect.number, m_self}, now + effect.timeout);
     m_client.send(std::move(call), [this, effect](const targets::http_result& result) {
         m_loop.post_completion(
-            [this, event = fence_result(effect, result)](base::time_point when) mutable {
+            [this, event = fence_event(effect, result)](base::time_point when) mutable {
                 step(when, std::move(event));
             });
     });
