Add the storage package

Ruled out: a separate file for the hard state (a second sync for each vote) and truncating files for a removed suffix (a crash could keep half of it); both are records of the log.

--- /dev/null
+++ b/src/storage/record.h
@@ -0,0 +1,70 @@
+#pragma once
+
+#include "lovagebeam/consensus/types.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace lovagebeam::storage {
+
+// All numbers are little endian. Every record begins at a multiple of 8 bytes:
+//
+//   offset  size  field
+//        0     4  magic
+//        4     4  kind
+//        8     8  size of the payload
+//       16     8  number of bytes of the segment that were durable when the record was written
+//       24     8  checksum of the record before it (of the segment's header for the first one)
+//       32     8  checksum of everything else, seeded with the segment's number and the offset
+//       40     -  payload, zeros up to a multiple of 8 (anything else is damage)
+//
+// The checksum of the record before it keeps a record that was overwritten in part from being
+// followed by an older one. The durable size tells a torn tail from damage: a bad record below the
+// durable size that a later valid record names had been durable.
+
+enum class record_kind : std::uint32_t {
+    segment_header = 1, ///< payload: number of the segment, the hard state as below
+    entry = 2,          ///< payload: index, term, kind (8 bytes each), payload of the entry
+    hard_state = 3,     ///< payload: term, group, incarnation of the vote, id of the vote
+    truncate = 4,       ///< payload: the first index that is removed
+};
+
+inline constexpr std::size_t record_head_size = 40;
+
+struct record {
+    record_kind kind = record_kind::entry;
+    std::uint64_t durable_size = 0;
+    std::uint64_t previous = 0;
+    std::uint64_t checksum = 0;
+    std::string_view payload;
+    std::uint64_t size = 0; // of the whole record with padding
+};
+
+/// Where a record stands, which is part of its checksum.
+struct record_position {
+    std::uint64_t segment = 0;
+    std::uint64_t offset = 0;
+};
+
+/// Appends a record to `buffer`, which will be written at `position`, and returns its checksum.
+std::uint64_t append_record(std::string& buffer, record_kind kind, std::string_view payload,
+                            std::uint64_t durable_size, std::uint64_t previous,
+                            record_position position);
+
+/// Reads the record at the front of `bytes`, or returns nothing unless it is whole and undamaged.
+std::optional<record> read_record(std::string_view bytes, record_position position);
+
+void put_number(std::string& buffer, std::uint64_t number);
+
+/// Takes a number from the front of `bytes`. 0 when there are too few.
+std::uint64_t take_number(std::string_view& bytes);
+
+std::string encode_entry(const consensus::log_entry& entry);
+std::optional<consensus::log_entry> decode_entry(std::string_view payload);
+std::string encode_hard_state(const consensus::hard_state& state);
+std::optional<consensus::hard_state> decode_hard_state(std::string_view payload);
+
+} // namespace lovagebeam::storage
--- /dev/null
+++ b/src/storage/snapshot_file.h
@@ -0,0 +1,33 @@
+#pragma once
+
+#include "lovagebeam/consensus/types.h"
+#include "lovagebeam/storage/file_system.h"
+
+#include <absl/status/status.h>
+#include <absl/status/statusor.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace lovagebeam::storage {
+
+// A snapshot's file: magic, size of the description, the description, XXH3 of everything before
+// (8 bytes each, little endian), then the snapshot's bytes.
+
+inline constexpr std::string_view snapshot_prefix = "snapshot-";
+
+struct snapshot_head {
+    consensus::snapshot_meta meta;
+    std::uint64_t data_offset = 0;
+};
+
+std::string encode_snapshot_head(const consensus::snapshot_meta& meta);
+
+/// Reads the head at the front of `bytes`. `snapshot_corrupt` with file and offset if damaged.
+absl::StatusOr<snapshot_head> decode_snapshot_head(const std::string& path, std::string_view bytes);
+
+/// Reads the file and checks all of its bytes.
+absl::StatusOr<snapshot_head> check_snapshot_file(file_system& files, const std::string& path);
+
+} // namespace lovagebeam::storage
