Add peers::peer_network

Change: nghttp2 sessions on Asio sockets; one stream for each channel; bounded queues; handshake with HMAC, time window and remembered nonces; PINGs and a fresh connection for a silent one; GOAWAY after the queues are empty. A message stays in its queue until its stream can take it, so a silent connection loses only what was handed to it. Ruled out: nghttp2_session_terminate_session after a refused handshake: it discards the answer 403, and the dialling side saw only a closed stream.

--- /dev/null
+++ b/src/peers/accepted_link.cpp
@@ -0,0 +1,180 @@
+#include "accepted_link.h"
+
+#include "lovagebeam/base/errors.h"
+
+#include <array>
+#include <utility>
+
+namespace lovagebeam::peers {
+namespace {
+
+using base::error_code;
+using base::make_error;
+
+constexpr std::string_view path_prefix = "/lovagebeam/peer/v1/";
+
+// How often within its limit a silent connection is looked at.
+constexpr int silence_checks = 4;
+
+std::optional<channel> channel_of(std::string_view path)
+{
+    for (std::size_t i = 0; i < channel_count; ++i) {
+        const auto which = static_cast<channel>(i);
+        if (path == std::string{path_prefix} + std::string{name_of(which)}) {
+            return which;
+        }
+    }
+    return std::nullopt;
+}
+
+} // namespace
+
+accepted_link::accepted_link(boost::asio::io_context& io, boost::asio::ip::tcp::socket socket,
+                             boost::asio::ip::address remote, accepted_owner& owner,
+                             const peer_limits& limits, live_counters& counters)
+    : http2_link{io, std::move(socket), role::server, counters}, m_remote{std::move(remote)},
+      m_owner{owner}, m_limits{limits}, m_timer{io}, m_started{std::chrono::steady_clock::now()}
+{
+}
+
+void accepted_link::start()
+{
+    watch_silence();
+    start_session();
+}
+
+void accepted_link::announce_end()
+{
+    nghttp2_submit_shutdown_notice(session());
+    flush();
+}
+
+// The dialling side sends PINGs, so a connection on which nothing arrives is lost.
+void accepted_link::watch_silence()
+{
+    m_timer.expires_after(m_limits.accepted_silence / silence_checks);
+    m_timer.async_wait([self = std::static_pointer_cast<accepted_link>(shared_from_this())](
+                           boost::system::error_code ec) {
+        if (ec || self->closed()) {
+            return;
+        }
+        const auto now = std::chrono::steady_clock::now();
+        const auto since = self->m_peer && !self->m_refused ? self->last_read() : self->m_started;
+        if (now - since >= self->m_limits.accepted_silence) {
+            self->close(make_error(error_code::connection_silent, "nothing was received"));
+            return;
+        }
+        self->watch_silence();
+    });
+}
+
+void accepted_link::on_header(std::int32_t stream, std::string_view name, std::string_view value)
+{
+    incoming_stream& target = m_streams[stream];
+    if (name == ":path") {
+        target.path = value;
+    }
+    else if (name == node_header) {
+        target.greeting.node = value;
+    }
+    else if (name == time_header) {
+        target.greeting.time_ms = value;
+    }
+    else if (name == nonce_header) {
+        target.greeting.nonce = value;
+    }
+    else if (name == mac_header) {
+        target.greeting.mac = value;
+    }
+}
+
+void accepted_link::on_headers_end(std::int32_t stream)
+{
+    incoming_stream& target = m_streams[stream];
+    if (target.which) {
+        fail(make_error(error_code::invalid_request, "a stream has trailers"));
+        return;
+    }
+    answer(stream, accept_stream(target));
+}
+
+absl::Status accepted_link::accept_stream(incoming_stream& stream)
+{
+    const auto which = channel_of(stream.path);
+    if (!which) {
+        return make_error(error_code::not_found, "unknown path");
+    }
+    auto sender = m_owner.authenticate(stream.greeting, m_remote);
+    if (!sender.ok()) {
+        return sender.status();
+    }
+    if (m_peer && m_peer != *sender) {
+        return make_error(error_code::unauthenticated, "another node on the same connection");
+    }
+    m_peer = *std::move(sender);
+    stream.which = which;
+    return absl::OkStatus();
+}
+
+void accepted_link::answer(std::int32_t stream, const absl::Status& result)
+{
+    if (result.ok()) {
+        ++counters().handshakes_accepted;
+        const std::array fields{make_field(":status", "200")};
+        const nghttp2_data_provider provider = make_provider();
+        nghttp2_submit_response(session(), stream, fields.data(), fields.size(), &provider);
+        return;
+    }
+    ++counters().handshakes_refused;
+    const std::string reason{result.message()};
+    const std::array fields{make_field(":status", "403"), make_field(error_header, reason)};
+    nghttp2_submit_response(session(), stream, fields.data(), fields.size(), nullptr);
+    // nghttp2_session_terminate_session would discard the answer that carries the reason.
+    nghttp2_submit_goaway(session(), NGHTTP2_FLAG_NONE,
+                          nghttp2_session_get_last_proc_stream_id(session()), NGHTTP2_NO_ERROR,
+                          nullptr, 0);
+    m_refused = true;
+}
+
+void accepted_link::on_data(std::int32_t stream, std::string_view bytes)
+{
+    const auto found = m_streams.find(stream);
+    if (found == m_streams.end() || !found->second.which) {
+        fail(make_error(error_code::unauthenticated, "data before the handshake"));
+        return;
+    }
+    const channel which = *found->second.which;
+    const absl::Status status =
+        found->second.decoder.push(bytes, [this, which](std::string message) {
+            m_peer->count_in(which, message.size());
+            m_owner.on_message(*m_peer, which, std::move(message));
+        });
+    if (!status.ok()) {
+        fail(status);
+    }
+}
+
+void accepted_link::on_end(std::int32_t stream)
+{
+    const auto found = m_streams.find(stream);
+    if (found != m_streams.end()) {
+        found->second.ended = true;
+        resume(stream);
+    }
+}
+
+// The answer has no body; it ends when the request does.
+std::size_t accepted_link::provide(std::int32_t stream, char*, std::size_t, bool& end)
+{
+    const auto found = m_streams.find(stream);
+    end = found == m_streams.end() || found->second.ended;
+    return 0;
+}
+
+void accepted_link::on_closed(const absl::Status&)
+{
+    m_timer.cancel();
+    m_owner.on_accepted_closed(std::static_pointer_cast<accepted_link>(shared_from_this()));
+}
+
+} // namespace lovagebeam::peers
--- /dev/null
+++ b/src/peers/dialled_link.cpp
@@ -0,0 +1,300 @@
+#include "dialled_link.h"
+
+#include "lovagebeam/base/errors.h"
+
+#include <boost/asio/post.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagebeam::peers {
+namespace {
+
+namespace asio = boost::asio;
+using base::error_code;
+using base::make_error;
+
+constexpr unsigned pings_until_silent = 2;
+
+base::wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+} // namespace
+
+dialled_link::dialled_link(asio::io_context& io, std::shared_ptr<peer_record> record,
+                           const authenticator& keys, dialled_owner& owner,
+                           const peer_limits& limits, live_counters& counters)
+    : http2_link{io, asio::ip::tcp::socket{io}, role::client, counters}, m_record{std::move(
+                                                                             record)},
+      m_keys{keys}, m_owner{owner}, m_limits{limits}, m_timer{io}, m_ping_timer{io}
+{
+    for (std::size_t i = 0; i < m_lanes.size(); ++i) {
+        m_lanes.at(i).which = static_cast<channel>(i);
+    }
+}
+
+void dialled_link::dial(const asio::ip::tcp::endpoint& remote, const asio::ip::address& local)
+{
+    ++counters().dials;
+    const auto self = std::static_pointer_cast<dialled_link>(shared_from_this());
+    m_timer.expires_after(m_limits.dial_time);
+    m_timer.async_wait([self](boost::system::error_code ec) {
+        if (!ec && !self->ready()) {
+            self->close(make_error(error_code::timed_out,
+                                   "no connection and handshake within the time limit"));
+        }
+    });
+    boost::system::error_code ec;
+    socket().open(remote.protocol(), ec);
+    // The peer checks this node's address, which on a host with several isn't always the one that
+    // the kernel would choose.
+    if (!ec && !local.is_unspecified() && local.is_v4() == remote.address().is_v4()) {
+        socket().bind({local, 0}, ec);
+    }
+    if (ec) {
+        asio::post(io(), [self, ec] { self->on_connected(ec); });
+        return;
+    }
+    socket().async_connect(
+        remote, [self](boost::system::error_code result) { self->on_connected(result); });
+}
+
+void dialled_link::on_connected(boost::system::error_code ec)
+{
+    if (closed()) {
+        return;
+    }
+    if (ec) {
+        close(make_error(error_code::connect_failed, ec.message()));
+        return;
+    }
+    open_streams();
+    start_session();
+}
+
+void dialled_link::open_streams()
+{
+    for (lane& each : m_lanes) {
+        const hello greeting = m_keys.make_hello(m_record->id(), wall_now());
+        const std::string path = "/lovagebeam/peer/v1/" + std::string{name_of(each.which)};
+        const std::array fields{
+            make_field(":method", "POST"),
+            make_field(":scheme", "http"),
+            make_field(":authority", m_record->id().str()),
+            make_field(":path", path),
+            make_field(node_header, greeting.node),
+            make_field(time_header, greeting.time_ms),
+            make_field(nonce_header, greeting.nonce),
+            make_field(mac_header, greeting.mac),
+        };
+        const nghttp2_data_provider provider = make_provider();
+        each.stream = nghttp2_submit_request(session(), nullptr, fields.data(), fields.size(),
+                                             &provider, nullptr);
+    }
+}
+
+void dialled_link::on_header(std::int32_t, std::string_view name, std::string_view value)
+{
+    if (name == ":status") {
+        m_status = value;
+    }
+    else if (name == error_header) {
+        m_refusal = value;
+    }
+}
+
+void dialled_link::on_headers_end(std::int32_t)
+{
+    if (m_status != "200") {
+        fail(make_error(error_code::unauthenticated,
+                        "the peer refused the handshake: " + m_refusal));
+        return;
+    }
+    ++m_accepted;
+    if (m_accepted == channel_count) {
+        m_timer.cancel();
+        await_ping();
+        m_owner.on_ready(std::static_pointer_cast<dialled_link>(shared_from_this()));
+    }
+}
+
+void dialled_link::on_stream_closed(std::int32_t stream)
+{
+    lane* const found = lane_of(stream);
+    if (found == nullptr) {
+        return;
+    }
+    found->open = false;
+    if (m_mode != mode::draining && m_mode != mode::retiring) {
+        fail(make_error(error_code::connection_reset, "the peer closed a stream"));
+        return;
+    }
+    if (std::ranges::none_of(m_lanes, &lane::open)) {
+        finish();
+    }
+}
+
+void dialled_link::on_goaway()
+{
+    if (ready() && m_mode != mode::draining && m_mode != mode::retiring) {
+        m_owner.on_leaving(std::static_pointer_cast<dialled_link>(shared_from_this()));
+    }
+}
+
+void dialled_link::wake()
+{
+    if (m_mode != mode::active) {
+        return;
+    }
+    for (const lane& each : m_lanes) {
+        if (m_record->has_messages(each.which)) {
+            resume(each.stream);
+        }
+    }
+    flush();
+}
+
+void dialled_link::activate()
+{
+    m_mode = mode::active;
+    wake();
+}
+
+void dialled_link::drain(std::chrono::milliseconds limit)
+{
+    end_streams(mode::draining, limit);
+}
+
+void dialled_link::retire(std::chrono::milliseconds limit)
+{
+    end_streams(mode::retiring, limit);
+}
+
+void dialled_link::end_streams(mode how, std::chrono::milliseconds limit)
+{
+    if (closed()) {
+        return;
+    }
+    if (!ready()) {
+        close(make_error(error_code::cancelled, "the connection isn't needed any more"));
+        return;
+    }
+    m_mode = how;
+    m_timer.expires_after(limit);
+    m_timer.async_wait([self = std::static_pointer_cast<dialled_link>(shared_from_this())](
+                           boost::system::error_code ec) {
+        if (!ec) {
+            self->close(make_error(error_code::connection_silent,
+                                   "the connection didn't end within the time limit"));
+        }
+    });
+    for (const lane& each : m_lanes) {
+        resume(each.stream);
+    }
+    flush();
+}
+
+void dialled_link::await_ping()
+{
+    m_ping_timer.expires_after(m_limits.ping_interval);
+    m_ping_timer.async_wait([self = std::static_pointer_cast<dialled_link>(shared_from_this())](
+                                boost::system::error_code ec) {
+        if (!ec && !self->closed()) {
+            self->on_ping_due();
+        }
+    });
+}
+
+void dialled_link::on_ping_due()
+{
+    if (m_unanswered >= pings_until_silent && !std::exchange(m_silent, true)) {
+        ++counters().silent_connections;
+        m_owner.on_silent(std::static_pointer_cast<dialled_link>(shared_from_this()));
+    }
+    if (closed()) {
+        return;
+    }
+    // Further PINGs to a silent peer would only fill the queue of frames.
+    if (!m_silent) {
+        ++m_unanswered;
+        nghttp2_submit_ping(session(), NGHTTP2_FLAG_NONE, nullptr);
+        flush();
+        await_ping();
+    }
+}
+
+dialled_link::lane* dialled_link::lane_of(std::int32_t stream)
+{
+    auto* const found = std::ranges::find(m_lanes, stream, &lane::stream);
+    return found == m_lanes.end() ? nullptr : found;
+}
+
+bool dialled_link::take_message(lane& from)
+{
+    if (from.message) {
+        return true;
+    }
+    if (m_mode != mode::active && m_mode != mode::draining) {
+        return false;
+    }
+    from.message = m_record->pop(from.which);
+    if (!from.message) {
+        return false;
+    }
+    from.prefix = make_length_prefix(from.message->size());
+    from.offset = 0;
+    return true;
+}
+
+std::size_t dialled_link::copy_part(lane& from, char* buffer, std::size_t size)
+{
+    std::size_t copied = 0;
+    if (from.offset < from.prefix.size()) {
+        copied = std::min(size, from.prefix.size() - from.offset);
+        std::copy_n(from.prefix.begin() + static_cast<std::ptrdiff_t>(from.offset), copied, buffer);
+        from.offset += copied;
+    }
+    if (from.offset >= from.prefix.size()) {
+        const std::size_t begin = from.offset - from.prefix.size();
+        const std::size_t count = std::min(size - copied, from.message->size() - begin);
+        std::copy_n(from.message->data() + begin, count, buffer + copied);
+        from.offset += count;
+        copied += count;
+        if (from.offset == from.prefix.size() + from.message->size()) {
+            m_record->count_out(from.which, from.message->size());
+            from.message.reset();
+        }
+    }
+    return copied;
+}
+
+std::size_t dialled_link::provide(std::int32_t stream, char* buffer, std::size_t size, bool& end)
+{
+    lane* const from = lane_of(stream);
+    if (from == nullptr) {
+        return 0;
+    }
+    std::size_t copied = 0;
+    while (copied < size && take_message(*from)) {
+        copied += copy_part(*from, buffer + copied, size - copied);
+    }
+    end = copied == 0 && (m_mode == mode::draining || m_mode == mode::retiring);
+    return copied;
+}
+
+void dialled_link::on_closed(const absl::Status& why)
+{
+    m_timer.cancel();
+    m_ping_timer.cancel();
+    for (const lane& each : m_lanes) {
+        if (each.message) {
+            m_record->count_dropped(each.which);
+        }
+    }
+    m_owner.on_dialled_closed(std::static_pointer_cast<dialled_link>(shared_from_this()), why);
+}
+
+} // namespace lovagebeam::peers
