placement: add balancer, growth of bookings and retries after out of memory

Filling freed capacity in order of weighted dominant share reaches the shares only as fast as tasks end. The balancer takes capacity back by checkpoint from teams above their fair share while others wait below theirs; differences under 2% of the share are left alone since each checkpoint costs its task a restart. A lowered upper limit is enforced in the same way. Reported use above the booking grows the booking where worker and limit allow, and a task that ran out of memory is placed again with twice the memory and counts against neither worker nor job.

--- a/include/lovagebeam/placement/events.h
+++ b/include/lovagebeam/placement/events.h
@@ -37,7 +37,9 @@
     job_spec spec;
 };
 
-/// A task ended. Reports about unknown or already ended tasks have no effect.
+/// A task ended. Reports about unknown or already ended tasks have no effect. A failed task whose
+/// peak memory reached its booked size is taken as having run out of memory: it is placed again
+/// with more, if it may be repeated.
 struct task_ended {
     base::task_id task;
     task_outcome outcome = task_outcome::completed;
@@ -53,7 +55,8 @@
     base::task_id task;
 };
 
-/// A lagged report of what a running task uses.
+/// A lagged report of what a running task uses. Where it uses more than was booked, the booking
+/// grows as far as its worker and its team's upper limit allow.
 struct usage_reported {
     base::task_id task;
     resources used;
--- a/include/lovagebeam/placement/reasons.h
+++ b/include/lovagebeam/placement/reasons.h
@@ -45,6 +45,7 @@
     stopped_for_urgent,
     stopped_checkpoint_overdue,
     restored_full_speed,
+    resized_to_reported_use,
     moved_for_drain,
     stopped_replaced,
     stopped_unknown_task,
--- a/src/placement/implementation.cpp
+++ b/src/placement/implementation.cpp
@@ -21,7 +21,7 @@
 scheduler::implementation::implementation(const scheduler_settings& settings,
                                           const recovered_state& recovered, base::time_point now)
     : m_state{settings}, m_queues{m_state}, m_preempt{m_state}, m_correct{m_state},
-      m_health{m_state}, m_gangs{m_state, m_queues, m_preempt},
+      m_health{m_state}, m_gangs{m_state, m_queues, m_preempt}, m_balancer{m_state, m_preempt},
       m_jobs{m_state, m_queues, m_preempt, m_correct, m_health, m_gangs}, m_built{now}, m_last_tick{
                                                                                             now}
 {
@@ -99,6 +99,7 @@
     m_preempt.escalate();
     m_queues.dispatch_freed();
     m_gangs.on_tick();
+    m_balancer.on_tick();
     m_queues.sweep(swept_teams);
 }
 
@@ -280,9 +281,26 @@
 void scheduler::implementation::handle(const usage_reported& input)
 {
     const slot at = m_state.find_task(input.task);
-    if (at == no_slot || m_state.tasks[at].job == no_slot) {
+    if (at == no_slot || m_state.tasks[at].job == no_slot ||
+        (m_state.tasks[at].phase != task_phase::started &&
+         m_state.tasks[at].phase != task_phase::running)) {
         return;
     }
+    const task_record& task = m_state.tasks[at];
+    resources grown = task.size;
+    if (!task.throttled) {
+        grown.cpu = base::millicores{std::max(grown.cpu.value(), input.used.cpu.value())};
+    }
+    grown.memory = base::bytes{std::max(grown.memory.value(), input.used.memory.value())};
+    const resources more = grown - task.size;
+    const worker_record& worker = m_state.workers[task.worker];
+    if (more == resources{} || !(worker.booked + more).fits_in(worker.capacity) ||
+        !m_state.within_limit(task.team, more)) {
+        return;
+    }
+    m_state.resize_task(at, grown);
+    m_state.tasks[at].full_size += more;
+    m_preempt.send(at, command_kind::unthrottle, reason::resized_to_reported_use);
 }
 
 void scheduler::implementation::handle(const task_throttled& input)
@@ -320,6 +338,7 @@
     m_state.teams[at].settings = input.settings;
     m_state.teams[at].settings.share = std::max<std::int64_t>(1, input.settings.share);
     m_state.relaxed.push_back(at);
+    m_balancer.enforce_limit(at);
 }
 
 } // namespace lovagebeam::placement
--- a/src/placement/implementation.h
+++ b/src/placement/implementation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "balancer.h"
 #include "corrector.h"
 #include "gang_planner.h"
 #include "health.h"
@@ -45,6 +46,7 @@
     internal::corrector m_correct;
     internal::health m_health;
     internal::gang_planner m_gangs;
+    internal::balancer m_balancer;
     internal::lifecycle m_jobs;
     base::time_point m_built{};
     base::time_point m_last_tick{};
--- a/src/placement/lifecycle.cpp
+++ b/src/placement/lifecycle.cpp
@@ -15,7 +15,6 @@
 /// Leases are checked in slices, so that one tick doesn't go over all tasks. Each lease is looked
 /// at once in this time; the delay only keeps capacity booked longer.
 constexpr base::duration lease_round = std::chrono::seconds{1};
-constexpr std::size_t kept_explanations = 10000;
 
 double seconds(base::duration value)
 {
@@ -50,9 +49,8 @@
 
 void lifecycle::make_pending(slot at)
 {
-    job_record& job = m_state.jobs[at];
-    m_queues.set_size(at, m_correct.size_of(job));
-    job.run_time = m_correct.run_time_of(job);
+    correct(at);
+    const job_record& job = m_state.jobs[at];
     for (std::uint32_t i = job.spec.tasks; i-- > 0;) {
         if (!job.completed[i] && !job.unknown_tasks[i] && !has_placement(at, i)) {
             m_queues.add_pending(at, i);
@@ -67,6 +65,34 @@
     }
 }
 
+void lifecycle::correct(slot at)
+{
+    job_record& job = m_state.jobs[at];
+    resources size = m_correct.size_of(job);
+    size.memory = base::bytes{std::max(size.memory.value(), job.least_memory)};
+    m_queues.set_size(at, size);
+    job.run_time = m_correct.run_time_of(job);
+}
+
+bool lifecycle::grow_memory(slot at, const task_ended& report)
+{
+    const task_record& task = m_state.tasks[at];
+    job_record& job = m_state.jobs[task.job];
+    if (!report.peak || report.peak->memory.value() < task.size.memory.value() ||
+        task.size.memory.value() == 0 || !job.spec.repeatable) {
+        return false;
+    }
+    resources grown = task.size;
+    grown.memory += grown.memory;
+    const auto tasks = job.spec.kind == job_kind::gang ? job.spec.tasks : 1;
+    if (!m_state.some_known_worker_holds(grown) ||
+        !m_state.within_empty_limit(job.team, scaled(grown, tasks))) {
+        return false;
+    }
+    job.least_memory = std::max(job.least_memory, grown.memory.value());
+    return true;
+}
+
 bool lifecycle::has_placement(slot at, std::uint32_t index) const
 {
     const job_record& job = m_state.jobs[at];
@@ -137,7 +163,9 @@
     case task_outcome::completed:
         return end(at, end_kind::completed);
     case task_outcome::failed:
-        return end(at, end_kind::failed);
+        // Running out of memory says nothing about the worker, and the job needs a larger size.
+        return end(at, task.job != no_slot && grow_memory(at, report) ? end_kind::stopped
+                                                                      : end_kind::failed);
     case task_outcome::checkpointed:
         return end(at, end_kind::checkpointed);
     case task_outcome::stopped:
@@ -273,8 +301,7 @@
     job_record& job = m_state.jobs[at];
     if (job.pending.empty()) {
         job.parked = false;
-        m_queues.set_size(at, m_correct.size_of(job));
-        job.run_time = m_correct.run_time_of(job);
+        correct(at);
     }
     else {
         m_queues.withdraw(at);
@@ -327,24 +354,6 @@
     }
 }
 
-void lifecycle::finish(slot at, job_state state, reason why)
-{
-    m_queues.drop_pending(at);
-    m_gangs.remove(at);
-    m_state.note(at, why);
-    job_record& job = m_state.jobs[at];
-    job.state = state;
-    m_state.out.jobs.push_back({job.spec.id, state, why, {}});
-    m_final[job.spec.id.str()] = describe(at);
-    m_final_order.push_back(job.spec.id);
-    if (m_final_order.size() > kept_explanations) {
-        m_final.erase(m_final_order.front().str());
-        m_final_order.pop_front();
-    }
-    m_state.job_by_id.erase(job.spec.id.str());
-    m_state.jobs.remove(at);
-}
-
 void lifecycle::on_cancel(const base::job_id& id)
 {
     const slot at = m_state.find_job(id);
@@ -477,33 +486,4 @@
     }
 }
 
-explanation lifecycle::describe(slot at) const
-{
-    const job_record& job = m_state.jobs[at];
-    explanation result;
-    result.job = job.spec.id;
-    result.state = job.state;
-    result.why = job.why;
-    result.detail = "size=[" + text_of(job.size) + "] team=" + job.spec.team.str();
-    result.waiting = static_cast<std::uint32_t>(job.pending.size());
-    result.running = static_cast<std::uint32_t>(job.placements.size());
-    result.completed = job.completed_count;
-    for (const history_entry& entry : job.history.oldest_first()) {
-        result.history.push_back(
-            {entry.when, entry.why,
-             entry.worker == no_slot ? base::worker_id{} : m_state.workers[entry.worker].id});
-    }
-    return result;
-}
-
-std::optional<explanation> lifecycle::explain(const base::job_id& id) const
-{
-    const slot at = m_state.find_job(id);
-    if (at != no_slot) {
-        return describe(at);
-    }
-    const auto final = m_final.find(id.str());
-    return final == m_final.end() ? std::nullopt : std::optional{final->second};
-}
-
 } // namespace lovagebeam::placement::internal
--- a/src/placement/lifecycle.h
+++ b/src/placement/lifecycle.h
@@ -55,7 +55,8 @@
     };
 
     void end(slot task, end_kind how);
-    void end_of_unknown_task(slot task);
+    bool grow_memory(slot task, const task_ended& report);
+    void correct(slot job);
     void react(slot job, std::uint32_t index, slot worker, end_kind how, bool moved);
     void requeue(slot job, std::uint32_t index, slot worker, end_kind how);
     void make_waiting(slot job, std::uint32_t index);
--- a/src/placement/model.h
+++ b/src/placement/model.h
@@ -116,8 +116,9 @@
 struct job_record {
     job_spec spec;
     slot team = no_slot;
-    resources size;            ///< corrected size of each task
-    base::duration run_time{}; ///< corrected run time
+    resources size;                ///< corrected size of each task
+    std::int64_t least_memory = 0; ///< after it ran out of memory
+    base::duration run_time{};     ///< corrected run time
     base::time_point accepted{};
     base::time_point order{};           ///< position in its queue: latest start, or arrival
     base::time_point not_before{};      ///< restart backoff
--- a/src/placement/names.cpp
+++ b/src/placement/names.cpp
@@ -22,7 +22,7 @@
     return "unnamed";
 }
 
-constexpr name_table<reason, 49> reason_names{{
+constexpr name_table<reason, 50> reason_names{{
     {reason::placed_best_fit, "placed_best_fit"},
     {reason::placed_spread, "placed_spread"},
     {reason::placed_gang, "placed_gang"},
@@ -56,6 +56,7 @@
     {reason::stopped_for_urgent, "stopped_for_urgent"},
     {reason::stopped_checkpoint_overdue, "stopped_checkpoint_overdue"},
     {reason::restored_full_speed, "restored_full_speed"},
+    {reason::resized_to_reported_use, "resized_to_reported_use"},
     {reason::moved_for_drain, "moved_for_drain"},
     {reason::stopped_replaced, "stopped_replaced"},
     {reason::stopped_unknown_task, "stopped_unknown_task"},
--- a/src/placement/preemptor.h
+++ b/src/placement/preemptor.h
@@ -18,6 +18,8 @@
     /// Returns whether it was asked.
     bool checkpoint(slot task, reason why);
     void stop(slot task, reason why);
+    /// Sends a command about a task with its booked size.
+    void send(slot task, command_kind kind, reason why);
 
     /// Takes overdue preemptions a step further.
     void escalate();
@@ -43,7 +45,6 @@
     [[nodiscard]] plan plan_on(slot worker, const resources& size) const;
     void throttle(slot task);
     void watch(slot task, base::duration patience);
-    void send(slot task, command_kind kind, reason why);
 
     cell& m_state;
     std::vector<std::pair<slot, base::task_id>> m_watched;
