consensus: confirm a member's contact only while a quorum is heard

A leader that was elected and cut off at once confirmed contacts although another leader existed.

Ruled out: dropping the time in which a new leader waits for its first quorum, since every election would then end at once.

Change: responses are confirmed only within the lease of a quorum; a member that is added counts as heard when it is added; the runs take a disk only where no configuration in any log would lose its majority.

--- a/src/consensus/replica_leader.cpp
+++ b/src/consensus/replica_leader.cpp
@@ -41,6 +41,9 @@
             peer.member = who;
             reset_progress(peer);
         }
+        if (!known) {
+            peer.last_response = m_now;
+        }
         peer.voter = voter;
     };
     for (const member& voter : m_log.config().voters) {
--- a/tests/consensus/sim_cluster.h
+++ b/tests/consensus/sim_cluster.h
@@ -104,6 +104,7 @@
     [[nodiscard]] static sim_time true_time(const sim_node& node, base::time_point time);
     [[nodiscard]] std::size_t index_of(const base::node_id& id) const;
     [[nodiscard]] incarnation fresh_incarnation() { return incarnation{m_random.next() | 1U}; }
+    [[nodiscard]] bool can_lose(std::size_t index) const;
     void tick_node(std::size_t index);
     void resume(std::size_t index);
     void process(std::size_t index, event input);
