--- a/include/lovagebeam/standin/runner.h
+++ b/include/lovagebeam/standin/runner.h
@@ -63,7 +63,7 @@
 
     void fence(const callers::http_request& request, const callers::reply& reply);
     void run(callers::http_request request, const callers::reply& reply);
-    void start(targets::run_request request, const callers::reply& reply);
+    void start(const targets::run_request& request, const callers::reply& reply);
     void finish(const base::attempt_id& id, const callers::reply& reply);
     void query(std::string_view id, const callers::reply& reply);
     void set_mode(const std::string& name, const callers::reply& reply);
--- a/src/daemon/decision_loop.cpp
+++ b/src/daemon/decision_loop.cpp
@@ -21,7 +21,8 @@
 
 void decision_loop::post_completion(task work)
 {
-    while (!m_ring.try_push(std::move(work))) {
+    // A refused item stays with the producer, so the moved-from check doesn't apply.
+    while (!m_ring.try_push(std::move(work))) { // NOLINT(bugprone-use-after-move)
         if (m_stopping) {
             return;
         }
--- a/src/daemon/log_storage.cpp
+++ b/src/daemon/log_storage.cpp
@@ -20,7 +20,6 @@
 
 using base::error_code;
 using base::make_error;
-using consensus::member;
 using telemetry::log_event;
 using telemetry::severity;
 
--- a/src/daemon/replication.h
+++ b/src/daemon/replication.h
@@ -129,7 +129,7 @@
     void expire(base::time_point now);
     void save_snapshot_if_due(base::time_point now);
     void on_snapshot_effect(base::time_point now, consensus::snapshot_effect effect);
-    void store_chunk(base::time_point now, consensus::store_snapshot_chunk chunk);
+    void store_chunk(base::time_point now, const consensus::store_snapshot_chunk& chunk);
     void install_snapshot(base::time_point now, const consensus::snapshot_meta& meta);
     consensus::request_tag next_tag();
 
--- a/src/daemon/replication_snapshots.cpp
+++ b/src/daemon/replication_snapshots.cpp
@@ -45,8 +45,8 @@
 
 void replication::on_snapshot_effect(base::time_point now, consensus::snapshot_effect effect)
 {
-    if (auto* chunk = std::get_if<consensus::store_snapshot_chunk>(&effect)) {
-        store_chunk(now, std::move(*chunk));
+    if (const auto* chunk = std::get_if<consensus::store_snapshot_chunk>(&effect)) {
+        store_chunk(now, *chunk);
         return;
     }
     const auto& wanted = std::get<consensus::read_snapshot_chunk>(effect);
@@ -58,7 +58,7 @@
                                              std::move(data)});
 }
 
-void replication::store_chunk(base::time_point now, consensus::store_snapshot_chunk chunk)
+void replication::store_chunk(base::time_point now, const consensus::store_snapshot_chunk& chunk)
 {
     if (chunk.offset == 0) {
         m_incoming_snapshot.clear();
--- a/src/daemon/storage_thread.cpp
+++ b/src/daemon/storage_thread.cpp
@@ -63,7 +63,8 @@
 
 void storage_thread::push(work next)
 {
-    while (!m_ring.try_push(std::move(next))) {
+    // A refused item stays with the producer, so the moved-from check doesn't apply.
+    while (!m_ring.try_push(std::move(next))) { // NOLINT(bugprone-use-after-move)
         std::this_thread::sleep_for(std::chrono::microseconds{100});
     }
 }
--- a/src/standin/runner.cpp
+++ b/src/standin/runner.cpp
@@ -121,10 +121,10 @@
         reply.send(error_response(503, base::error_code::queue_full, "all slots are in use"));
         return;
     }
-    start(*std::move(message), reply);
+    start(*message, reply);
 }
 
-void runner::start(targets::run_request request, const reply& reply)
+void runner::start(const targets::run_request& request, const reply& reply)
 {
     const base::attempt_id id = request.attempt_id;
     attempt started;
