--- a/tests/state/work_test.cpp
+++ b/tests/state/work_test.cpp
@@ -13,7 +13,6 @@
 using lovagebeam::state::command;
 using lovagebeam::state::task_outcome;
 using lovagebeam::state::task_state;
-using lovagebeam::state::work_outcome;
 namespace pb = lovagebeam::proto::state;
 
 class work_test : public lovagebeam::test::cell_fixture {
