--- a/src/routing/home_targets.cpp
+++ b/src/routing/home_targets.cpp
@@ -287,11 +287,19 @@
     status.set_slots(slots);
     status.set_free_slots(slots - used);
     status.set_waiting(static_cast<std::uint32_t>(m_waiting));
+    status.set_leaving(m_shared.is_shutting_down);
     for (const auto& member : m_shared.members.members()) {
         m_shared.send(member, proto::RoutingMessage{message});
     }
 }
 
+void target_home::announce_leaving()
+{
+    if (m_shared.members.is_joined()) {
+        send_status();
+    }
+}
+
 void target_home::on_tick()
 {
     while (const auto id = m_timers.pop_due(m_shared.now)) {
--- a/src/routing/membership.cpp
+++ b/src/routing/membership.cpp
@@ -23,6 +23,7 @@
     std::ranges::sort(members);
     const bool is_joined = is_self_joined && std::ranges::binary_search(members, m_self);
     m_is_consecutive = m_is_joined && is_joined && number == m_number.next();
+    m_has_just_left = m_is_joined && !is_joined && !std::ranges::binary_search(members, m_self);
     m_is_joined = is_joined;
     if (m_is_joined && !m_first_joined) {
         m_first_joined = number;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -55,7 +55,11 @@
         m_home.on_limits_changed();
         m_owner.on_limits_changed();
     }
-    void handle(shutdown_requested&&) { m_shared.is_shutting_down = true; }
+    void handle(shutdown_requested&&)
+    {
+        m_shared.is_shutting_down = true;
+        m_home.announce_leaving();
+    }
 
     void handle_local();
     void receive(const base::node_id& from, proto::RoutingMessage&& message);
@@ -222,6 +226,9 @@
     case kind::kHomeTargetsAck:
         return m_home.on_targets_ack(from, message.home_targets_ack());
     case kind::kHomeStatus:
+        if (message.home_status().leaving()) {
+            m_sync.on_leaving(from);
+        }
         return m_owner.on_status(from, message.home_status());
     case kind::kEpochTargets:
         return m_sync.on_targets(from, message.epoch_targets());
--- a/src/routing/target_home.h
+++ b/src/routing/target_home.h
@@ -52,6 +52,8 @@
     void fill_targets(const base::node_id& home, proto::EpochTargets& message) const;
     /// All reports have arrived: new work may start.
     void on_reports_complete();
+    /// Tells all members at once that this host takes no new work and will leave.
+    void announce_leaving();
     void on_tick();
 
     [[nodiscard]] std::size_t waiting_count() const { return m_waiting; }
