--- a/src/routing/owner_takeover.cpp
+++ b/src/routing/owner_takeover.cpp
@@ -153,7 +153,8 @@
         fresh.phase = request_phase::dispatched;
     }
     owner_request& request = m_requests.at(number);
-    if (request.phase == request_phase::done) {
+    if (request.phase == request_phase::done || is_queued(request)) {
+        // Ended after the report was made; a queued one was refused and waits for its retry.
         return;
     }
     confirm_running(number, request, home);
@@ -313,9 +314,10 @@
     else if (is_queued(request)) {
         leave_queue(request);
     }
-    else {
+    else if (request.phase != request_phase::resolving) {
         return;
     }
+    m_by_attempt.erase(request.attempt);
     request.attempt = message.attempt();
     m_by_attempt[request.attempt] = number;
     request.body =
--- a/tests/routing/random_run.cpp
+++ b/tests/routing/random_run.cpp
@@ -204,7 +204,7 @@
         const auto& record = m_cluster->truth().requests.at(caller);
         guarantee(record.answers == 1 && record.result == routing::outcome::completed,
                   "no recovery after the faults: caller " + std::to_string(caller) + " of " +
-                      record.team + " got " + record.code);
+                      record.team + " got " + record.code + m_cluster->describe());
     }
 }
 
--- a/tests/routing/sim_cluster.cpp
+++ b/tests/routing/sim_cluster.cpp
@@ -208,6 +208,24 @@
     }
 }
 
+std::string sim_cluster::describe() const
+{
+    std::string text;
+    for (const auto& item : m_hosts) {
+        const router_stats stats = item.router->stats();
+        text += "\n" + item.id.str() + " epoch=" + std::to_string(stats.number.value()) +
+                " ready=" + std::to_string(stats.is_ready) +
+                " lease=" + std::to_string(stats.is_lease_valid) +
+                " owner_waiting=" + std::to_string(stats.owner_waiting) +
+                " owner_running=" + std::to_string(stats.owner_running) +
+                " targets=" + std::to_string(stats.home_targets) +
+                " home_waiting=" + std::to_string(stats.home_waiting) +
+                " home_running=" + std::to_string(stats.home_running) +
+                " ejected=" + std::to_string(stats.home_ejected);
+    }
+    return text;
+}
+
 bool sim_cluster::is_cut(std::uint32_t first, std::uint32_t second) const
 {
     const auto found = m_cuts.find({std::min(first, second), std::max(first, second)});
--- a/tests/routing/sim_cluster.h
+++ b/tests/routing/sim_cluster.h
@@ -47,6 +47,7 @@
     }
     [[nodiscard]] bool is_alive(std::uint32_t host) const { return m_hosts[host].is_alive; }
     void heal();
+    [[nodiscard]] std::string describe() const; ///< Counters of the hosts, for failure messages.
 
     /// Checks the answers; call after everything had time to end.
     void check_answers() const;
