--- a/src/routing/owner_takeover.cpp
+++ b/src/routing/owner_takeover.cpp
@@ -266,6 +266,10 @@
         }
         return;
     }
+    if (is_queued(request)) {
+        // A copy of the refusal after which it was queued again.
+        return;
+    }
     release(number, request);
     if (message.service_us() > 0) {
         record_service(request, message.service_us());
@@ -281,8 +285,10 @@
         request.status = message.status();
         finish(number, request, result, error_code::internal_error);
     }
-    else if (result == outcome::not_run && !request.is_adopted) {
-        retry_or_refuse(number, request, code_from(message.code()));
+    else if (result == outcome::not_run) {
+        // The body of an adopted attempt is not here: the entry host submits it again.
+        request.is_adopted ? finish(number, request, result, error_code::stale_epoch)
+                           : retry_or_refuse(number, request, code_from(message.code()));
     }
     else {
         request.body.clear();
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -88,6 +88,7 @@
 
 void router::implementation::handle(tick&&)
 {
+    m_shared.last_tick = m_shared.now;
     m_sync.on_tick();
     m_home.on_tick();
     m_owner.on_tick();
@@ -111,8 +112,13 @@
 
 void router::implementation::handle(target_announced&& item)
 {
+    if (m_shared.was_stopped()) {
+        // It may be old: the target could have announced meanwhile that it leaves.
+        return;
+    }
     proto::RoutingMessage message;
     auto& announcement = *message.mutable_target_announcement();
+    m_shared.make_id(*announcement.mutable_id());
     *announcement.mutable_target() = to_proto(item.info);
     announcement.set_leaving(item.leaving);
     m_shared.send(m_shared.members.home_of(item.info.target.str()), std::move(message));
