--- a/src/routing/epoch_sync.h
+++ b/src/routing/epoch_sync.h
@@ -50,11 +50,12 @@
     target_registry& m_registry;
     target_home& m_home;
     team_owner& m_owner;
-    std::map<base::node_id, member_state> m_members;
-    std::map<base::node_id, std::uint64_t> m_list_versions;
-    std::set<base::node_id> m_leaving;  ///< Members that announced that they will leave.
-    std::set<base::node_id> m_departed; ///< Left with this epoch; their reports are still missing.
-    std::set<base::node_id> m_departed_reported;
+    std::map<base::node_id, member_state, node_order> m_members;
+    std::map<base::node_id, std::uint64_t, node_order> m_list_versions;
+    std::set<base::node_id, node_order> m_leaving; ///< Members that announced that they will leave.
+    std::set<base::node_id, node_order>
+        m_departed; ///< Left with this epoch; their reports are still missing.
+    std::set<base::node_id, node_order> m_departed_reported;
     base::time_point m_departed_until;
     bool m_are_targets_known = false;
     bool m_is_complete = false;
--- a/src/routing/membership.h
+++ b/src/routing/membership.h
@@ -8,6 +8,14 @@
 
 namespace lovagebeam::routing {
 
+/// Orders hosts by name.
+struct node_order {
+    bool operator()(const base::node_id& left, const base::node_id& right) const
+    {
+        return left.str() < right.str();
+    }
+};
+
 /// The membership epoch as this host knows it, its member lease, and ownership by rendezvous hash.
 class membership {
 public:
@@ -39,7 +47,7 @@
     /// its refusal prove that no earlier copy of a message was accepted.
     [[nodiscard]] bool remembers(base::epoch number) const
     {
-        return m_first_joined && number >= *m_first_joined;
+        return m_first_joined && number.value() >= m_first_joined->value();
     }
 
     /// Whether this host was joined in the epoch just before the present one, so that nobody can
--- a/src/routing/owner_takeover.cpp
+++ b/src/routing/owner_takeover.cpp
@@ -201,8 +201,8 @@
         const bool is_open = request.phase == request_phase::dispatched ||
                              request.phase == request_phase::committing;
         if (is_open && request.team->is_owned &&
-            request.attempt_epoch < m_shared.members.number() &&
-            request.seen_epoch < m_shared.members.number()) {
+            request.attempt_epoch.value() < m_shared.members.number().value() &&
+            request.seen_epoch.value() < m_shared.members.number().value()) {
             orphans.push_back(number);
         }
     }
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -144,7 +144,7 @@
 void router::implementation::receive(const base::node_id& from, proto::RoutingMessage&& message)
 {
     const base::epoch number{message.epoch()};
-    if (number <= m_shared.members.number()) {
+    if (number.value() <= m_shared.members.number().value()) {
         route(from, number, std::move(message));
     }
     else if (m_early.size() < m_shared.settings.early_message_limit) {
