--- a/src/routing/epoch_sync.cpp
+++ b/src/routing/epoch_sync.cpp
@@ -166,6 +166,12 @@
     check_complete();
 }
 
+bool epoch_sync::is_handed_over() const
+{
+    return std::ranges::all_of(
+        m_members, [&](const auto& item) { return item.second.acked_report >= m_version; });
+}
+
 bool epoch_sync::is_waiting_for_departed() const
 {
     return !m_departed.empty() && m_shared.now < m_departed_until;
--- a/src/routing/epoch_sync.h
+++ b/src/routing/epoch_sync.h
@@ -31,6 +31,9 @@
 
     [[nodiscard]] bool is_complete() const { return m_is_complete; }
 
+    /// Whether every member has the report of this host. From then on none sends it new work.
+    [[nodiscard]] bool is_handed_over() const;
+
 private:
     struct member_state {
         bool has_sent_targets = false;
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -252,7 +252,7 @@
 void router::implementation::check_drained()
 {
     if (m_shared.is_shutting_down && !m_is_drained && !m_shared.members.is_joined() &&
-        m_entry.size() == 0 && m_owner.is_idle() && m_home.is_idle()) {
+        m_sync.is_handed_over() && m_entry.size() == 0 && m_owner.is_idle() && m_home.is_idle()) {
         m_is_drained = true;
         m_shared.emit(drained{});
     }
