Close a fake's connection only after its script has ended

Cause: thread-sanitizer run of targets_test and platform_test: the fake server's destructor read a socket that the script was closing, 3 reports, all in tests/support/net.h. Change: the fake closes the connection itself, under its lock. Linter: unordered directory of peers, because std::map instantiates the defaulted comparison of string_id, which modernize-use-nullptr reports by mistake.

--- a/src/peers/network_core.cpp
+++ b/src/peers/network_core.cpp
@@ -109,7 +109,7 @@
         return make_error(error_code::not_connected, "unknown peer " + peer.str());
     }
     bool wake = false;
-    const absl::Status status = link->record().push(which, std::move(bytes), wake);
+    absl::Status status = link->record().push(which, std::move(bytes), wake);
     if (wake) {
         asio::post(m_io, [link] { link->wake(); });
     }
--- a/src/peers/network_core.h
+++ b/src/peers/network_core.h
@@ -12,10 +12,10 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include <atomic>
-#include <map>
 #include <memory>
 #include <shared_mutex>
 #include <thread>
+#include <unordered_map>
 #include <unordered_set>
 #include <vector>
 
@@ -83,7 +83,8 @@
     std::thread m_thread;
 
     mutable std::shared_mutex m_directory_mutex;
-    std::map<base::node_id, std::shared_ptr<peer_link>> m_directory; ///< Changed on the thread.
+    std::unordered_map<base::node_id, std::shared_ptr<peer_link>>
+        m_directory; ///< Changed on the thread.
 };
 
 } // namespace lovagebeam::peers
--- a/tests/callers/http_server_test.cpp
+++ b/tests/callers/http_server_test.cpp
@@ -304,7 +304,7 @@
             raw_client left{m_server->port()};
             left.send(get("/left"));
             CPPUNIT_ASSERT(wait_until([this] { return held() == 1; }));
-            test::reset(left.socket());
+            test::reset_at_close(left.socket());
         }
         raw_client next{m_server->port()};
         next.send(get("/next"));
--- a/tests/peers/network_fixture.h
+++ b/tests/peers/network_fixture.h
@@ -87,8 +87,8 @@
 protected:
     using network_ptr = std::unique_ptr<peers::peer_network>;
 
-    const base::node_id node_a{"a"};
-    const base::node_id node_b{"b"};
+    const base::node_id m_node_a{"a"};
+    const base::node_id m_node_b{"b"};
     static constexpr const char* usual_secret = "0123456789abcdef";
 
     network_ptr start(const base::node_id& id, recorder& handler, std::string secret = usual_secret,
@@ -111,14 +111,14 @@
     /// Starts both. "a" dials "b" at `port_of_b`, or where it listens.
     void start_both()
     {
-        m_a = start(node_a, *m_at_a);
-        m_b = start(node_b, *m_at_b);
+        m_a = start(m_node_a, *m_at_a);
+        m_b = start(m_node_b, *m_at_b);
     }
 
     void introduce(std::uint16_t port_of_b = 0)
     {
-        m_b->update_peers({{node_a, "127.0.0.1", m_a->port()}});
-        m_a->update_peers({{node_b, "127.0.0.1", port_of_b == 0 ? m_b->port() : port_of_b}});
+        m_b->update_peers({{m_node_a, "127.0.0.1", m_a->port()}});
+        m_a->update_peers({{m_node_b, "127.0.0.1", port_of_b == 0 ? m_b->port() : port_of_b}});
     }
 
     void start_connected()
@@ -130,13 +130,13 @@
 
     void await_state(peers::connection_state state)
     {
-        CPPUNIT_ASSERT_MESSAGE(std::string{peers::name_of(m_a->state_of(node_b))},
-                               wait_until([&] { return m_a->state_of(node_b) == state; }));
+        CPPUNIT_ASSERT_MESSAGE(std::string{peers::name_of(m_a->state_of(m_node_b))},
+                               wait_until([&] { return m_a->state_of(m_node_b) == state; }));
     }
 
     absl::Status send(peers::channel which, std::string bytes)
     {
-        return m_a->send(node_b, which, std::move(bytes));
+        return m_a->send(m_node_b, which, std::move(bytes));
     }
 
     void await_messages(std::size_t count)
--- a/tests/peers/peer_failures_test.cpp
+++ b/tests/peers/peer_failures_test.cpp
@@ -31,8 +31,8 @@
 public:
     void wrong_secret_is_refused()
     {
-        m_a = start(node_a, *m_at_a, "another secret of 25 bytes");
-        m_b = start(node_b, *m_at_b);
+        m_a = start(m_node_a, *m_at_a, "another secret of 25 bytes");
+        m_b = start(m_node_b, *m_at_b);
         introduce();
         await_error(error_code::unauthenticated);
         CPPUNIT_ASSERT(m_b->counters().handshakes_refused > 0);
@@ -44,7 +44,7 @@
     {
         start_both();
         m_b->update_peers({{base::node_id{"c"}, "127.0.0.1", m_a->port()}});
-        m_a->update_peers({{node_b, "127.0.0.1", m_b->port()}});
+        m_a->update_peers({{m_node_b, "127.0.0.1", m_b->port()}});
         await_error(error_code::unauthenticated);
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_b->counters().handshakes_accepted);
     }
@@ -52,8 +52,8 @@
     void unconfigured_address_is_refused()
     {
         start_both();
-        m_b->update_peers({{node_a, "127.0.0.9", m_a->port()}});
-        m_a->update_peers({{node_b, "127.0.0.1", m_b->port()}});
+        m_b->update_peers({{m_node_a, "127.0.0.9", m_a->port()}});
+        m_a->update_peers({{m_node_b, "127.0.0.1", m_b->port()}});
         CPPUNIT_ASSERT(wait_until([this] { return m_b->counters().addresses_refused > 0; }));
         await_error(error_code::connection_reset);
     }
@@ -94,7 +94,7 @@
         m_b.reset();
         await_state_other_than(connection_state::connected);
         CPPUNIT_ASSERT(base::has_code(send(channel::routing, "x"), error_code::not_connected));
-        m_b = start(node_b, *m_at_b, usual_secret, port);
+        m_b = start(m_node_b, *m_at_b, usual_secret, port);
         introduce();
         await_state(connection_state::connected);
         CPPUNIT_ASSERT(send(channel::routing, "again").ok());
@@ -174,13 +174,13 @@
     void await_error(error_code code)
     {
         const bool came =
-            wait_until([&] { return base::has_code(m_a->last_error_of(node_b), code); });
-        CPPUNIT_ASSERT_MESSAGE(std::string{m_a->last_error_of(node_b).message()}, came);
+            wait_until([&] { return base::has_code(m_a->last_error_of(m_node_b), code); });
+        CPPUNIT_ASSERT_MESSAGE(std::string{m_a->last_error_of(m_node_b).message()}, came);
     }
 
     void await_state_other_than(connection_state state)
     {
-        CPPUNIT_ASSERT(wait_until([&] { return m_a->state_of(node_b) != state; }));
+        CPPUNIT_ASSERT(wait_until([&] { return m_a->state_of(m_node_b) != state; }));
     }
 };
 
--- a/tests/peers/peer_network_test.cpp
+++ b/tests/peers/peer_network_test.cpp
@@ -54,9 +54,9 @@
     {
         start_connected();
         CPPUNIT_ASSERT(
-            wait_until([this] { return m_b->state_of(node_a) == connection_state::connected; }));
+            wait_until([this] { return m_b->state_of(m_node_a) == connection_state::connected; }));
         CPPUNIT_ASSERT(send(channel::consensus, "to b").ok());
-        CPPUNIT_ASSERT(m_b->send(node_a, channel::snapshot, "to a").ok());
+        CPPUNIT_ASSERT(m_b->send(m_node_a, channel::snapshot, "to a").ok());
         await_messages(1);
         CPPUNIT_ASSERT(wait_until([this] { return m_at_a->count() == 1; }));
         CPPUNIT_ASSERT_EQUAL(std::string{"to a"}, m_at_a->messages()[0].bytes);
@@ -74,8 +74,8 @@
         std::uint64_t messages_in = 0;
         std::uint64_t messages_out = 0;
         for (int i = 0; i < 3; ++i) {
-            const auto in = m_b->counters_of(node_a, static_cast<channel>(i));
-            const auto out = m_a->counters_of(node_b, static_cast<channel>(i));
+            const auto in = m_b->counters_of(m_node_a, static_cast<channel>(i));
+            const auto out = m_a->counters_of(m_node_b, static_cast<channel>(i));
             CPPUNIT_ASSERT_EQUAL(out.bytes_out, in.bytes_in);
             messages_in += in.messages_in;
             messages_out += out.messages_out;
@@ -96,10 +96,10 @@
     {
         start_both();
         CPPUNIT_ASSERT(base::has_code(send(channel::routing, "x"), error_code::not_connected));
-        m_a->update_peers({{node_b, "127.0.0.1", 1}});
-        CPPUNIT_ASSERT(wait_until([this] { return !m_a->last_error_of(node_b).ok(); }));
+        m_a->update_peers({{m_node_b, "127.0.0.1", 1}});
+        CPPUNIT_ASSERT(wait_until([this] { return !m_a->last_error_of(m_node_b).ok(); }));
         CPPUNIT_ASSERT(base::has_code(send(channel::routing, "x"), error_code::not_connected));
-        CPPUNIT_ASSERT(base::has_code(m_a->last_error_of(node_b), error_code::connect_failed));
+        CPPUNIT_ASSERT(base::has_code(m_a->last_error_of(m_node_b), error_code::connect_failed));
     }
 
     // Guards against a sender that buffers without limit for a receiver that doesn't read, and
@@ -174,7 +174,8 @@
         }
         m_a->stop();
         CPPUNIT_ASSERT_EQUAL(count, m_at_b->count());
-        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, m_a->counters_of(node_b, channel::routing).dropped);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0},
+                             m_a->counters_of(m_node_b, channel::routing).dropped);
     }
 
     // Guards against a planned stop that cuts off messages which others have queued for this node.
@@ -201,7 +202,7 @@
         start_connected();
         m_a->stop();
         CPPUNIT_ASSERT(base::has_code(send(channel::routing, "x"), error_code::shutting_down));
-        CPPUNIT_ASSERT(m_a->state_of(node_b) == connection_state::disconnected);
+        CPPUNIT_ASSERT(m_a->state_of(m_node_b) == connection_state::disconnected);
     }
 
     void removed_peer_is_disconnected()
@@ -218,13 +219,13 @@
     void build_invalid_settings_fails_typed()
     {
         const auto builder = [this] {
-            return peers::peer_network_builder{}.id(node_a).secret(usual_secret).handler(*m_at_a);
+            return peers::peer_network_builder{}.id(m_node_a).secret(usual_secret).handler(*m_at_a);
         };
         CPPUNIT_ASSERT(builder().build().ok());
         for (const auto& status :
              {builder().secret("short").build().status(), builder().listen("x", 0).build().status(),
-              builder().peers({{node_b, "host", 1}}).build().status(),
-              peers::peer_network_builder{}.id(node_a).secret(usual_secret).build().status()}) {
+              builder().peers({{m_node_b, "host", 1}}).build().status(),
+              peers::peer_network_builder{}.id(m_node_a).secret(usual_secret).build().status()}) {
             CPPUNIT_ASSERT(base::has_code(status, error_code::invalid_settings));
         }
     }
@@ -233,7 +234,7 @@
     void await_state_change()
     {
         CPPUNIT_ASSERT(
-            wait_until([this] { return m_a->state_of(node_b) != connection_state::connected; }));
+            wait_until([this] { return m_a->state_of(m_node_b) != connection_state::connected; }));
     }
 };
 
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -144,7 +144,7 @@
         {
             test::scripted_server worker{[](test::tcp_socket& socket, int) {
                 test::read_request(socket);
-                test::reset(socket);
+                test::reset_at_close(socket);
             }};
             port = worker.port();
             CPPUNIT_ASSERT_EQUAL(std::string{"unknown"}, start_on(port));
--- a/tests/support/net.h
+++ b/tests/support/net.h
@@ -69,12 +69,11 @@
     return !ec;
 }
 
-/// Closes with a reset instead of an orderly end.
-inline void reset(tcp_socket& socket)
+/// Makes the close of the socket a reset instead of an orderly end.
+inline void reset_at_close(tcp_socket& socket)
 {
     boost::system::error_code ignored;
     socket.set_option(boost::asio::socket_base::linger{true, 0}, ignored);
-    socket.close(ignored);
 }
 
 /// A client that sends exactly the bytes it is told to.
@@ -134,7 +133,8 @@
 };
 
 /// A server that runs a script for each connection, on a thread of its own. The connection's
-/// number counts from 0.
+/// number counts from 0. The connection is closed when the script returns; the script itself must
+/// not close it, because the destructor ends the scripts by shutting down the open connections.
 class scripted_server {
 public:
     using script = std::function<void(tcp_socket&, int number)>;
@@ -153,7 +153,9 @@
         {
             const std::lock_guard lock{m_mutex};
             for (auto& each : m_connections) {
-                ::shutdown(each->native_handle(), SHUT_RDWR);
+                if (each->is_open()) {
+                    ::shutdown(each->native_handle(), SHUT_RDWR);
+                }
             }
         }
         for (auto& each : m_threads) {
@@ -179,10 +181,18 @@
             const std::lock_guard lock{m_mutex};
             m_connections.push_back(socket);
             m_threads.emplace_back(
-                [this, socket, number = m_accepted++] { m_script(*socket, number); });
+                [this, socket, number = m_accepted++] { run_script(*socket, number); });
         }
     }
 
+    void run_script(tcp_socket& socket, int number)
+    {
+        m_script(socket, number);
+        const std::lock_guard lock{m_mutex};
+        boost::system::error_code ignored;
+        socket.close(ignored);
+    }
+
     boost::asio::io_context m_io;
     boost::asio::ip::tcp::acceptor m_acceptor;
     std::uint16_t m_port;
@@ -242,7 +252,7 @@
         boost::system::error_code ec;
         server.connect(loopback(target), ec);
         if (ec) {
-            reset(client);
+            reset_at_close(client);
             return;
         }
         std::array<pollfd, 2> waiting{};
--- a/tests/targets/http_client_failures_test.cpp
+++ b/tests/targets/http_client_failures_test.cpp
@@ -84,7 +84,7 @@
     {
         scripted_server server{[](tcp_socket& socket, int) {
             read_request(socket);
-            test::reset(socket);
+            test::reset_at_close(socket);
         }};
         const http_result result = call(server.port()).get();
         assert_outcome(http_outcome::reset, result);
--- a/tests/targets/http_client_pool_test.cpp
+++ b/tests/targets/http_client_pool_test.cpp
@@ -64,7 +64,6 @@
         scripted_server server{[](tcp_socket& socket, int number) {
             read_request(socket);
             write_all(socket, answer_with(std::to_string(number)));
-            socket.close();
         }};
         for (int i = 0; i < 20; ++i) {
             const http_result result = call(server.port()).get();
@@ -148,7 +147,6 @@
             if (number == 0) {
                 may_close.wait();
             }
-            socket.close();
         }};
         assert_outcome(http_outcome::answered, call(server.port()).get());
         auto second = call(server.port());
