--- /dev/null
+++ b/fuzz/target_protocol.cpp
@@ -0,0 +1,46 @@
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/targets/protocol.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <cstdlib>
+#include <string_view>
+
+namespace {
+
+using namespace lovagebeam::targets;
+
+/// A message that is accepted survives a round trip; one that isn't gives a typed error.
+template <class Decode>
+void check(std::string_view json, Decode decode)
+{
+    const auto first = decode(json);
+    if (!first.ok()) {
+        if (!lovagebeam::base::has_code(first.status(),
+                                        lovagebeam::base::error_code::invalid_request)) {
+            std::abort();
+        }
+        return;
+    }
+    const auto second = decode(encode(*first));
+    if (!second.ok() || !(*first == *second)) {
+        std::abort();
+    }
+}
+
+} // namespace
+
+// NOLINTNEXTLINE(readability-identifier-naming): the name is fixed by libFuzzer.
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
+{
+    const std::string_view text{reinterpret_cast<const char*>(data), size};
+    check(text, decode_target_announcement);
+    check(text, decode_fence_request);
+    check(text, decode_fence_answer);
+    check(text, decode_attempt_answer);
+    if (percent_decode(percent_encode(text)) != text) {
+        std::abort();
+    }
+    static_cast<void>(percent_decode(text));
+    return 0;
+}
