--- a/include/lovagebeam/placement/decisions.h
+++ b/include/lovagebeam/placement/decisions.h
@@ -35,6 +35,8 @@
 
 /// The state of a job changed. `refused` answers a `job_accepted`; completed, failed, cancelled,
 /// not_run and unknown are final, and the scheduler forgets such a job except for its explanation.
+/// `failed` comes as soon as one task fails for good; other tasks of the job are then being stopped
+/// and their placements stay until they end.
 struct job_update {
     base::job_id job;
     job_state state = job_state::waiting;
@@ -48,9 +50,10 @@
     reason why = reason::host_quarantined;
 };
 
-/// A placement that ended without a report from its worker. The daemon removes it from the
-/// replicated state; with `ended_outcome_unknown` it records the outcome of the task as unknown,
-/// so that no later leader places it again.
+/// A placement that ended without a report from its worker, or one of work that may not be repeated
+/// whose outcome is unknown. The daemon removes it from the replicated state; with
+/// `ended_outcome_unknown` it records the outcome of the task as unknown, so that no later leader
+/// places it again.
 struct placement_released {
     base::task_id task;
     reason why = reason::ended_lost_with_worker;
--- a/include/lovagebeam/placement/scheduler.h
+++ b/include/lovagebeam/placement/scheduler.h
@@ -52,6 +52,9 @@
     /// Tasks that ended as checkpointed and have not completed since, by index.
     std::vector<std::uint32_t> checkpointed;
     bool cancelled = false;
+    /// False only if no placement of the job was ever committed. A cancelled job that was never
+    /// placed ends as not run.
+    bool was_placed = true;
 };
 
 /// What the replicated state holds when a new leader starts.
--- a/src/placement/cell.cpp
+++ b/src/placement/cell.cpp
@@ -265,6 +265,15 @@
     return tasks_held(size, false, 1) > 0;
 }
 
+std::size_t cell::present_holders(const resources& size) const
+{
+    std::size_t count = 0;
+    for (const shape& s : shapes) {
+        count += size.fits_in(s.capacity) ? s.present : 0;
+    }
+    return count;
+}
+
 bool cell::some_present_worker_holds(const resources& size) const
 {
     return tasks_held(size, true, 1) > 0;
--- a/src/placement/cell.h
+++ b/src/placement/cell.h
@@ -37,6 +37,7 @@
     std::vector<slot> workers;
     base::time_point made{};
     base::time_point expected{}; ///< when the capacity should be free
+    std::size_t waiting = 0;     ///< tasks of the job that waited then
     bool reclaiming = false;
 };
 
@@ -72,6 +73,8 @@
     [[nodiscard]] resources headroom(const worker_record& worker) const;
 
     [[nodiscard]] bool some_known_worker_holds(const resources& size) const;
+    /// Number of present workers that hold the size when empty.
+    [[nodiscard]] std::size_t present_holders(const resources& size) const;
     [[nodiscard]] bool some_present_worker_holds(const resources& size) const;
     /// Tasks of the size that the fleet holds when empty, counted up to `enough`.
     [[nodiscard]] std::int64_t tasks_held(const resources& size, bool present_only,
--- a/src/placement/corrector.cpp
+++ b/src/placement/corrector.cpp
@@ -158,10 +158,10 @@
         size.memory = base::bytes{predict(record->memory, size.memory.value())};
     }
     // A correction upwards must not make a job impossible that would run at its declared size.
-    const bool was_possible = m_state.some_known_worker_holds(job.spec.size);
-    const auto tasks = job.spec.kind == job_kind::gang ? job.spec.tasks : 1;
+    const std::int64_t tasks = job.spec.kind == job_kind::gang ? job.spec.tasks : 1;
+    const bool was_possible = m_state.tasks_held(job.spec.size, false, tasks) >= tasks;
     const auto allowed = [&](const resources& corrected) {
-        return (!was_possible || m_state.some_known_worker_holds(corrected)) &&
+        return (!was_possible || m_state.tasks_held(corrected, false, tasks) >= tasks) &&
                m_state.within_empty_limit(job.team, scaled(corrected, tasks));
     };
     if (!allowed(size)) {
--- a/src/placement/dispatcher.cpp
+++ b/src/placement/dispatcher.cpp
@@ -225,6 +225,16 @@
     }
 }
 
+bool dispatcher::try_failed_workers_again(slot at)
+{
+    job_record& job = m_state.jobs[at];
+    if (job.failed_on.empty() || m_state.present_holders(job.size) > job.failed_on.size()) {
+        return false;
+    }
+    job.failed_on.clear();
+    return true;
+}
+
 void dispatcher::dispatch_queue(slot queue)
 {
     m_state.queues[queue].no_worker_fits = false;
@@ -243,6 +253,9 @@
                 park(job, reason::waiting_no_such_host_now)) {
                 continue;
             }
+            if (try_failed_workers_again(job)) {
+                continue;
+            }
             mark_no_worker(queue, job);
             return;
         }
--- a/src/placement/dispatcher.h
+++ b/src/placement/dispatcher.h
@@ -78,6 +78,7 @@
     bool blocked_by_limit(slot queue, slot job);
     void mark_no_worker(slot queue, slot job);
     bool park(slot job, reason why);
+    bool try_failed_workers_again(slot job);
     void count_waiting(slot job, std::int64_t tasks);
 
     cell& m_state;
--- a/src/placement/explanations.cpp
+++ b/src/placement/explanations.cpp
@@ -15,8 +15,10 @@
     m_gangs.remove(at);
     m_state.note(at, why);
     job_record& job = m_state.jobs[at];
-    job.state = state;
-    m_state.out.jobs.push_back({job.spec.id, state, why, {}});
+    if (job.state != state) {
+        job.state = state;
+        m_state.out.jobs.push_back({job.spec.id, state, why, {}});
+    }
     m_final[job.spec.id.str()] = describe(at);
     m_final_order.push_back(job.spec.id);
     if (m_final_order.size() > kept_explanations) {
--- a/src/placement/gang_planner.cpp
+++ b/src/placement/gang_planner.cpp
@@ -39,6 +39,11 @@
         return;
     }
     std::erase(m_gangs, job);
+    release_limit(job);
+}
+
+void gang_planner::release_limit(slot job)
+{
     team_record& team = m_state.teams[m_state.jobs[job].team];
     if (team.held_for == job) {
         team.held_for = no_slot;
@@ -121,7 +126,15 @@
     const job_record& job = m_state.jobs[at];
     team_record& team = m_state.teams[job.team];
     m_state.note(at, reason::waiting_for_team_limit);
-    if (team.held_for == no_slot && m_state.now - job.accepted > limit_patience) {
+    if (m_state.reserved.job == at) {
+        // Room on workers is of no use yet, and another gang may hold the limit and need that room.
+        cancel_reservation();
+    }
+    // The oldest gang holds the limit and, below, the reservation: the same order for both, so that
+    // no two gangs wait for each other.
+    const bool oldest =
+        team.held_for == no_slot || job.accepted < m_state.jobs[team.held_for].accepted;
+    if (oldest && m_state.now - job.accepted > limit_patience) {
         team.held_for = at;
         team.held = scaled(job.size, static_cast<std::int64_t>(job.pending.size()));
     }
@@ -136,6 +149,7 @@
             break;
         }
         if (!possible(at)) {
+            release_limit(at);
             if (m_state.reserved.job == at) {
                 cancel_reservation();
             }
@@ -210,17 +224,19 @@
     std::sort(options.begin(), options.end(),
               [](const option& left, const option& right) { return left.when < right.when; });
     std::size_t places = 0;
-    reservation made{at, {}, m_state.now, m_state.now, false};
+    reservation made{at, {}, m_state.now, m_state.now, job.pending.size(), false};
     for (std::size_t i = 0; i < options.size() && places < tasks; ++i) {
         made.workers.push_back(options[i].worker);
         made.expected = options[i].when;
         places += options[i].places;
     }
     if (places < tasks) {
+        // Without the workers on which it failed the fleet is too small for it.
+        job.failed_on.clear();
         return;
     }
     if (job.claimed == base::time_point{}) {
-        job.claimed = m_state.now;
+        job.claimed = m_state.now; // patience counts from the first reservation
     }
     made.made = job.claimed;
     for (const slot worker : made.workers) {
@@ -258,7 +274,8 @@
         const std::vector<slot> tasks = m_state.workers[worker].tasks;
         for (const slot at : tasks) {
             const task_record& task = m_state.tasks[at];
-            if (task.job == no_slot || m_state.jobs[task.job].spec.kind != job_kind::batch) {
+            if (task.job == no_slot || task.job == m_state.reserved.job ||
+                m_state.jobs[task.job].spec.kind != job_kind::batch) {
                 continue;
             }
             if (!m_preempt.checkpoint(at, reason::preempted_for_gang) &&
@@ -278,7 +295,11 @@
     const bool broken =
         std::any_of(m_state.reserved.workers.begin(), m_state.reserved.workers.end(),
                     [this](slot worker) { return !m_state.usable(m_state.workers[worker]); });
-    if (broken || job.pending.empty()) {
+    // A single task that found its place has what the reservation was for.
+    if (broken || job.pending.size() < m_state.reserved.waiting) {
+        if (job.spec.kind != job_kind::gang) {
+            m_state.jobs[m_state.reserved.job].claimed = {};
+        }
         cancel_reservation();
         return;
     }
--- a/src/placement/gang_planner.h
+++ b/src/placement/gang_planner.h
@@ -28,6 +28,7 @@
     [[nodiscard]] bool possible(slot job);
     [[nodiscard]] std::vector<slot> workers_for(slot job, std::size_t tasks) const;
     void hold_limit(slot job);
+    void release_limit(slot job);
     void try_gangs();
     void reserve_for_starved();
     void reserve(slot job, std::size_t tasks);
--- a/src/placement/health.cpp
+++ b/src/placement/health.cpp
@@ -34,7 +34,8 @@
         add_distinct(command, worker);
     }
     const std::uint32_t enough = m_state.settings.give_up_workers;
-    if (job.failed_on.size() >= enough) {
+    // Where few hosts can hold the job it fails on the same ones again.
+    if (job.failed_on.size() >= enough || job.failures >= 2 * enough) {
         // The job is at fault, so its failures don't speak against the workers.
         for (const slot other : job.failed_on) {
             std::erase(m_state.workers[other].failed_jobs, job.spec.id);
--- a/src/placement/implementation.cpp
+++ b/src/placement/implementation.cpp
@@ -51,7 +51,7 @@
             record.checkpointed.at(index) = true;
         }
         record.cancelled = job.cancelled;
-        record.told = job.cancelled;
+        record.told = job.was_placed;
     }
     for (const placed_task& placement : from.placements) {
         task_record task;
@@ -74,9 +74,11 @@
         }
     }
     for (const recovered_job& job : from.jobs) {
+        const slot at = m_state.find_job(job.spec.id);
         if (!job.cancelled) {
-            m_jobs.make_pending(m_state.find_job(job.spec.id));
+            m_jobs.make_pending(at);
         }
+        m_jobs.settle(at);
     }
 }
 
@@ -140,12 +142,13 @@
         if (task.phase != task_phase::proposed) {
             task.lease_end = m_state.now + m_state.settings.task_lease;
             m_jobs.on_running(at);
-            if (task.job == no_slot) {
-                return;
-            }
-            if (m_state.jobs[task.job].cancelled) {
+            if (task.job != no_slot && m_state.jobs[task.job].cancelled) {
                 m_preempt.stop(at, reason::stopped_cancelled);
             }
+            if (task.job == no_slot) {
+                m_preempt.stop(at, reason::stopped_unknown_task);
+            }
+            m_preempt.remind(at);
         }
         return;
     }
--- a/src/placement/lifecycle.cpp
+++ b/src/placement/lifecycle.cpp
@@ -51,6 +51,17 @@
 {
     correct(at);
     const job_record& job = m_state.jobs[at];
+    if (job.spec.kind == job_kind::gang && !job.placements.empty()) {
+        const auto unknown = static_cast<std::size_t>(
+            std::count(job.unknown_tasks.begin(), job.unknown_tasks.end(), true));
+        if (job.placements.size() + job.completed_count + unknown < job.spec.tasks) {
+            on_gang_task_lost(at);
+        }
+        return;
+    }
+    if (job.spec.kind == job_kind::gang && job.unknown) {
+        return; // `settle` ends it
+    }
     for (std::uint32_t i = job.spec.tasks; i-- > 0;) {
         if (!job.completed[i] && !job.unknown_tasks[i] && !has_placement(at, i)) {
             m_queues.add_pending(at, i);
@@ -84,8 +95,8 @@
     }
     resources grown = task.size;
     grown.memory += grown.memory;
-    const auto tasks = job.spec.kind == job_kind::gang ? job.spec.tasks : 1;
-    if (!m_state.some_known_worker_holds(grown) ||
+    const std::int64_t tasks = job.spec.kind == job_kind::gang ? job.spec.tasks : 1;
+    if (m_state.tasks_held(grown, false, tasks) < tasks ||
         !m_state.within_empty_limit(job.team, scaled(grown, tasks))) {
         return false;
     }
@@ -179,12 +190,13 @@
 {
     const task_record task = m_state.tasks[at];
     const bool lost = how == end_kind::lost;
+    const bool interrupted = lost || how == end_kind::stopped || how == end_kind::checkpointed;
     m_state.remove_task(at);
     if (task.job == no_slot) {
         return;
     }
-    if (lost) {
-        const bool unknown = !m_state.jobs[task.job].spec.repeatable;
+    const bool unknown = interrupted && !m_state.jobs[task.job].spec.repeatable;
+    if (lost || unknown) {
         m_state.out.released.push_back(
             {task.id, unknown ? reason::ended_outcome_unknown : reason::ended_lost_with_worker});
     }
@@ -252,7 +264,11 @@
 void lifecycle::give_up(slot at)
 {
     job_record& job = m_state.jobs[at];
-    job.state = job_state::failed;
+    if (job.state != job_state::failed) {
+        // Told at once: a new leader must not place work again that failed and may not be repeated.
+        job.state = job_state::failed;
+        m_state.out.jobs.push_back({job.spec.id, job.state, job.why, {}});
+    }
     m_queues.drop_pending(at);
     m_gangs.remove(at);
     const std::vector<slot> placements = job.placements;
@@ -332,7 +348,7 @@
         return;
     }
     const auto unknown = std::count(job.unknown_tasks.begin(), job.unknown_tasks.end(), true);
-    if (job.cancelled) {
+    if (job.cancelled && job.state != job_state::failed) {
         if (job.unknown) {
             return finish(at, job_state::unknown, reason::ended_outcome_unknown);
         }
@@ -345,7 +361,9 @@
     if (job.completed_count == job.spec.tasks) {
         return finish(at, job_state::completed, reason::ended_completed);
     }
-    if (job.completed_count + static_cast<std::uint32_t>(unknown) >= job.spec.tasks) {
+    const bool incomplete_gang = job.spec.kind == job_kind::gang && unknown > 0;
+    if (incomplete_gang ||
+        job.completed_count + static_cast<std::uint32_t>(unknown) >= job.spec.tasks) {
         return finish(at, job_state::unknown, reason::ended_outcome_unknown);
     }
     if (job.restarting) {
--- a/src/placement/lifecycle.h
+++ b/src/placement/lifecycle.h
@@ -38,6 +38,8 @@
     /// Ends leases, restart backoffs and paced replacements that are due.
     void on_tick(base::duration elapsed);
     void start(slot task);
+    /// Ends the job if nothing of it waits or has a placement any more.
+    void settle(slot job);
 
     [[nodiscard]] std::optional<explanation> explain(const base::job_id& id) const;
 
@@ -64,7 +66,6 @@
     void on_gang_task_lost(slot job);
     void mark_unknown(slot job, std::uint32_t index);
     void give_up(slot job);
-    void settle(slot job);
     void finish(slot job, job_state state, reason why);
     [[nodiscard]] bool has_placement(slot job, std::uint32_t index) const;
     [[nodiscard]] bool is_due(const task_record& task) const;
--- a/src/placement/model.h
+++ b/src/placement/model.h
@@ -80,6 +80,7 @@
     base::time_point started{};
     base::time_point lease_end = never; ///< our clock, without drift
     base::time_point escalate = never;  ///< when an overdue preemption goes a step further
+    base::time_point commanded{};       ///< when its worker was last sent a command
     reason preempted_for = reason::placed_best_fit;
     decision_id decision;
 };
--- a/src/placement/preemptor.cpp
+++ b/src/placement/preemptor.cpp
@@ -20,6 +20,9 @@
 /// A service is interrupted after batch work of the same step.
 constexpr double service_cost = 5e3;
 
+/// Two announcements; a command sent before them would have had an effect.
+constexpr base::duration remind_after = std::chrono::seconds{1};
+
 bool is_active(const task_record& task)
 {
     return task.phase == task_phase::started || task.phase == task_phase::running;
@@ -34,7 +37,8 @@
 
 void preemptor::send(slot at, command_kind kind, reason why)
 {
-    const task_record& task = m_state.tasks[at];
+    task_record& task = m_state.tasks[at];
+    task.commanded = m_state.now;
     worker_command command;
     command.kind = kind;
     command.task = task.id;
@@ -81,17 +85,40 @@
         return;
     }
     task.phase = task_phase::stopping;
+    task.preempted_for = why;
     send(at, command_kind::stop, why);
 }
 
+void preemptor::send_throttle(slot at)
+{
+    send(at, command_kind::throttle, reason::throttled_for_urgent);
+    worker_command& command = m_state.out.commands.back();
+    command.size.cpu = base::millicores{command.size.cpu.value() / throttle_divisor};
+}
+
+void preemptor::remind(slot at)
+{
+    const task_record& task = m_state.tasks[at];
+    if (m_state.now - task.commanded < remind_after) {
+        return;
+    }
+    if (task.phase == task_phase::stopping) {
+        send(at, command_kind::stop, task.preempted_for);
+    }
+    else if (task.phase == task_phase::checkpointing) {
+        send(at, command_kind::checkpoint, task.preempted_for);
+    }
+    else if (task.phase == task_phase::throttling) {
+        send_throttle(at);
+    }
+}
+
 void preemptor::throttle(slot at)
 {
     task_record& task = m_state.tasks[at];
     task.phase = task_phase::throttling;
     task.throttled_once = true;
-    send(at, command_kind::throttle, reason::throttled_for_urgent);
-    worker_command& command = m_state.out.commands.back();
-    command.size.cpu = base::millicores{task.size.cpu.value() / throttle_divisor};
+    send_throttle(at);
     watch(at, m_state.settings.checkpoint_patience);
 }
 
@@ -159,7 +186,7 @@
         m_next_worker = (m_next_worker + 1) % fleet;
         const worker_record& worker = m_state.workers[m_next_worker];
         if (!m_state.usable(worker) || m_state.now < worker.claimed_until ||
-            !job.size.fits_in(worker.capacity)) {
+            !job.size.fits_in(worker.capacity) || !worker_admits(m_state, m_next_worker, job)) {
             continue;
         }
         ++compared;
--- a/src/placement/preemptor.h
+++ b/src/placement/preemptor.h
@@ -21,6 +21,9 @@
     /// Sends a command about a task with its booked size.
     void send(slot task, command_kind kind, reason why);
 
+    /// Repeats a command that the worker doesn't seem to have received: it reported the task again.
+    void remind(slot task);
+
     /// Takes overdue preemptions a step further.
     void escalate();
 
@@ -44,6 +47,7 @@
     [[nodiscard]] std::vector<step> steps_on(slot worker) const;
     [[nodiscard]] plan plan_on(slot worker, const resources& size) const;
     void throttle(slot task);
+    void send_throttle(slot task);
     void watch(slot task, base::duration patience);
 
     cell& m_state;
--- a/tests/placement/capacity_test.cpp
+++ b/tests/placement/capacity_test.cpp
@@ -141,7 +141,7 @@
     void recovered_placement_counts_before_worker_announces()
     {
         recovered_state state;
-        state.jobs.push_back({job("a", job_kind::batch, 700), {}, {}, {}, false});
+        state.jobs.push_back({job("a", job_kind::batch, 700), {}, {}, {}, false, true});
         state.placements.push_back(
             {base::task_id{"a.0.1.1"}, base::job_id{"a"}, 0, base::worker_id{"w0"}, amount(700)});
         state.generation = 2;
