--- a/src/consensus/replica_election.cpp
+++ b/src/consensus/replica_election.cpp
@@ -98,7 +98,13 @@
 
 replica_role replica_impl::idle_role() const
 {
-    return m_durable && is_voter(m_self) ? replica_role::follower : replica_role::learner;
+    // A voter whose removal isn't committed may have the longest log and be needed for a majority
+    // of the old configuration: it must still be able to lead until the removal is committed.
+    const auto& committed = m_log.config_at(m_commit).voters;
+    const bool leaving = !is_config_committed() &&
+                         std::find(committed.begin(), committed.end(), m_self) != committed.end();
+    return m_durable && (is_voter(m_self) || leaving) ? replica_role::follower
+                                                      : replica_role::learner;
 }
 
 bool replica_impl::is_voter(const member& candidate) const
--- a/src/consensus/replica_leader.cpp
+++ b/src/consensus/replica_leader.cpp
@@ -95,7 +95,7 @@
     if (m_role != replica_role::leader) {
         return;
     }
-    if (m_progress.empty() || majority() == 1) {
+    if (majority() == 1 && is_voter(m_self)) {
         m_quorum_heard = m_now;
     }
     const base::time_point heard =
--- a/src/consensus/replica_step.cpp
+++ b/src/consensus/replica_step.cpp
@@ -114,6 +114,9 @@
 
 void replica_impl::finish()
 {
+    if (m_role == replica_role::leader && !is_voter(m_self) && is_config_committed()) {
+        become_follower(m_hard.term, member{});
+    }
     emit_persist();
     emit_committed();
     const bool role_changed = m_reported.role != m_role || m_reported.term != m_hard.term ||
