--- a/include/lovagebeam/consensus/replica.h
+++ b/include/lovagebeam/consensus/replica.h
@@ -50,8 +50,8 @@
     bool caught_up = false;
     /// When the member last answered, and never before this leader's election or the member's
     /// addition: a new leader gives every member a full member lease. A member that is removed
-    /// from the group may have been in contact until then. May lie up to election_timeout_min in the future after a
-    /// transfer, while the former leader can still be renewing leases.
+    /// from the group may have been in contact until then. May lie up to election_timeout_min in
+    /// the future after a transfer, while the former leader can still be renewing leases.
     base::time_point last_response;
     /// False if the member hasn't answered this leader yet.
     bool responded = false;
--- a/tests/consensus/sim_cluster.cpp
+++ b/tests/consensus/sim_cluster.cpp
@@ -27,7 +27,7 @@
         node.self = {base::node_id{absl::StrCat("n", i)}, fresh_incarnation()};
         node.durable = i < setup.voters + setup.spares;
         const double drift = setup.timing.clock_drift;
-        node.rate = 1.0 + drift * (static_cast<double>(m_random.below(3)) - 1.0);
+        node.rate = m_random.chance(0.5) ? 1.0 + drift : 1.0 - drift;
         node.offset = static_cast<sim_time>(m_random.below(1'000'000'000));
         (i < setup.voters ? first.config.voters : first.config.learners).push_back(node.self);
         m_nodes.push_back(std::move(node));
@@ -227,15 +227,18 @@
 {
     sim_node& node = m_nodes[index];
     node.confirmed_contact = out.contact.confirmed_contact;
-    for (outgoing_message& message : out.messages) {
+    for (const outgoing_message& message : out.messages) {
         m_invariants.on_message(message.message);
-        send(index, std::move(message));
+        send(index, message);
     }
     if (out.persist) {
         persist(index, std::move(*out.persist));
     }
     if (out.role && out.role->role == replica_role::leader) {
         m_invariants.on_leader(node.self, out.role->term, node.log);
+        if (m_on_new_leader) {
+            m_on_new_leader(index);
+        }
     }
     for (const proposal_result& result : out.proposals) {
         take_result(index, result);
@@ -252,7 +255,7 @@
     }
 }
 
-void sim_cluster::send(std::size_t from, outgoing_message out)
+void sim_cluster::send(std::size_t from, const outgoing_message& out)
 {
     const std::size_t to = index_of(out.to);
     if (to >= m_nodes.size() || m_network.cut.count({from, to}) != 0 ||
@@ -279,6 +282,12 @@
     m_invariants.on_entries(node.log, request);
     node.log.apply(request);
     const storage_sequence sequence = request.sequence;
+    if (request.hard_state && m_random.chance(m_crash_during_writes)) {
+        const sim_time restart = m_now + 5'000 + static_cast<sim_time>(m_random.below(100'000));
+        schedule_for(index, static_cast<sim_time>(m_random.below(1'000)),
+                     [this, index] { crash(index); });
+        at(restart, [this, index] { start(index); });
+    }
     node.disk.pending.push_back(std::move(request));
     const std::uint64_t limit = m_random.chance(0.05) ? 100'000 : 2'000;
     const auto delay = static_cast<sim_time>(200 + m_random.below(limit));
--- a/tests/consensus/sim_cluster.h
+++ b/tests/consensus/sim_cluster.h
@@ -79,6 +79,13 @@
     void give(std::size_t index, event input);
     void repair();
     void stop_clients() { m_clients_run = false; }
+    /// Share of writes of hard state during which the node crashes, before or after the sync.
+    void crash_during_writes(double share) { m_crash_during_writes = share; }
+    /// Calls `action` with the node whenever one becomes leader.
+    void on_new_leader(std::function<void(std::size_t)> action)
+    {
+        m_on_new_leader = std::move(action);
+    }
     [[nodiscard]] std::optional<std::size_t> newest_leader() const;
     [[nodiscard]] std::size_t completed_operations() const { return m_completed; }
 
@@ -109,7 +116,7 @@
     void resume(std::size_t index);
     void process(std::size_t index, event input);
     void take_effects(std::size_t index, effects out);
-    void send(std::size_t from, outgoing_message out);
+    void send(std::size_t from, const outgoing_message& out);
     void deliver_later(std::size_t to, const proto::ConsensusMessage& message);
     void persist(std::size_t index, persist_request request);
     void apply(std::size_t index, const log_entry& entry);
@@ -129,6 +136,8 @@
     std::priority_queue<scheduled> m_queue;
     network_faults m_network;
     std::vector<sim_node> m_nodes;
+    double m_crash_during_writes = 0.0;
+    std::function<void(std::size_t)> m_on_new_leader;
     sim_invariants m_invariants;
     std::vector<operation> m_operations;
     std::vector<client> m_clients{3};
--- a/tests/consensus/sim_run.cpp
+++ b/tests/consensus/sim_run.cpp
@@ -18,12 +18,12 @@
     setup.voters = random.chance(0.3) ? 5 : 3;
     setup.spares = random.below(2);
     setup.diskless = random.below(2);
-    // Wide drift makes the lease's margin large enough for random runs to hit it.
-    setup.timing.clock_drift = random.chance(0.5) ? 0.1 : 0.01;
-    if (random.chance(0.3)) {
-        setup.timing.election_timeout_max = std::chrono::milliseconds{360};
+    // Wide drift and short timeouts make the lease's margin large enough for random runs to hit it.
+    setup.timing.clock_drift = random.chance(0.4) ? 0.2 : 0.01;
+    if (random.chance(0.5)) {
+        setup.timing.election_timeout_max = std::chrono::milliseconds{330};
     }
-    setup.timing.max_batch_entries = 1 + random.below(8);
+    setup.timing.max_batch_entries = random.chance(0.5) ? 1 : 1 + random.below(8);
     setup.timing.max_inflight_messages = 1 + random.below(4);
     setup.timing.snapshot_chunk_bytes = 16 + random.below(100);
     setup.timing.retained_entries = random.below(20);
@@ -47,8 +47,22 @@
         }
     }
 
+    /// Strikes leaders within a few milliseconds of their election, when entries of their own term
+    /// and of earlier ones are on some of the logs only.
+    void strike_new_leaders()
+    {
+        m_cluster.on_new_leader([this](std::size_t index) {
+            if (m_cluster.now() < fault_time && m_random.chance(0.6)) {
+                m_cluster.at(m_cluster.now() + static_cast<sim_time>(m_random.below(5'000)),
+                             [this, index] { strike(index); });
+            }
+        });
+    }
+
     void heal()
     {
+        m_cluster.on_new_leader(nullptr);
+        m_cluster.crash_during_writes(0.0);
         m_cluster.network() = network_faults{};
         for (std::size_t i = 0; i < m_cluster.nodes().size(); ++i) {
             m_cluster.start(i);
@@ -78,7 +92,7 @@
         case 4:
             return isolate(leader_or_any());
         case 5:
-            return cut_one_way();
+            return cut_pair();
         case 6:
             return partition();
         case 7:
@@ -102,6 +116,16 @@
         }
     }
 
+    void strike(std::size_t index)
+    {
+        if (m_random.chance(0.5)) {
+            return crash_and_restart(index);
+        }
+        isolate(index);
+        m_cluster.at(m_cluster.now() + static_cast<sim_time>(m_random.below(700'000)),
+                     [this] { m_cluster.network().cut.clear(); });
+    }
+
     void crash_and_restart(std::size_t index)
     {
         m_cluster.crash(index);
@@ -126,11 +150,14 @@
         }
     }
 
-    void cut_one_way()
+    void cut_pair()
     {
-        const std::size_t from = any_node();
+        const std::size_t from = leader_or_any();
         const std::size_t to = any_node();
         m_cluster.network().cut.insert({from, to});
+        if (m_random.chance(0.5)) {
+            m_cluster.network().cut.insert({to, from});
+        }
     }
 
     void partition()
@@ -217,7 +244,14 @@
     fault_source faults{cluster, base::random_source{random.next()}};
     run_result result;
     try {
-        faults.schedule(400'000, fault_time);
+        const bool strikes = random.chance(0.4);
+        if (strikes) {
+            faults.strike_new_leaders();
+            cluster.crash_during_writes(random.unit() * 0.3);
+        }
+        if (!strikes || random.chance(0.3)) {
+            faults.schedule(400'000, fault_time);
+        }
         cluster.run_until(fault_time);
         // Restarts that are still due are harmless, but they end within this time.
         cluster.run_until(fault_time + 500'000);
