--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -388,6 +388,7 @@
         m_metrics.gauge_named(name).set(value);
     };
     set("lovagebeam_is_leader", m_log.is_established_leader(now) ? 1 : 0);
+    set("lovagebeam_is_voter", m_membership.is_voter() ? 1 : 0);
     set("lovagebeam_is_ready", readiness_problem(now).empty() ? 1 : 0);
     set("lovagebeam_epoch", static_cast<double>(stats.number.value()));
     set("lovagebeam_config_version", static_cast<double>(m_log.state().version().value()));
--- a/src/daemon/membership.cpp
+++ b/src/daemon/membership.cpp
@@ -63,6 +63,12 @@
     return std::ranges::find(present, host_run{m_settings.node, m_run}) != present.end();
 }
 
+bool membership::is_voter() const
+{
+    const auto& voters = m_log.replica().config().voters;
+    return std::ranges::find(voters, m_identity) != voters.end();
+}
+
 void membership::tick(base::time_point now)
 {
     if (now - m_last_hello >= hello_interval) {
--- a/src/daemon/membership.h
+++ b/src/daemon/membership.h
@@ -41,6 +41,8 @@
     [[nodiscard]] std::uint64_t run() const { return m_run; }
     /// Tells whether the present epoch has this run of the process as a member.
     [[nodiscard]] bool is_joined() const;
+    /// Tells whether this host votes under its present identity.
+    [[nodiscard]] bool is_voter() const;
 
 private:
     struct asked {
