--- a/bench/state_bench/bench.h
+++ b/bench/state_bench/bench.h
@@ -50,8 +50,8 @@
 
 void require(const absl::Status& status);
 
-/// The memory of the process in bytes.
-std::uint64_t resident_bytes();
+/// The bytes that the process has allocated and not freed.
+std::uint64_t used_bytes();
 
 class stopwatch {
 public:
--- a/bench/state_bench/store_bench.cpp
+++ b/bench/state_bench/store_bench.cpp
@@ -64,7 +64,7 @@
     }
     cell_driver driver{options.seed};
     prepare(driver);
-    const std::uint64_t before = resident_bytes();
+    const std::uint64_t before = used_bytes();
     const stopwatch opening;
     const opened_store store{options.folder};
     const double open_us = opening.microseconds();
@@ -74,7 +74,7 @@
     }
     std::cout << "bench=recovery seed=" << options.seed << " entries=" << entries
               << " open_ms=" << open_us / 1000 << " apply_ms=" << applying.microseconds() / 1000
-              << " memory_bytes=" << resident_bytes() - before << '\n';
+              << " memory_bytes=" << used_bytes() - before << '\n';
     std::filesystem::remove_all(options.folder);
 }
 
--- a/src/state/apply_operator.cpp
+++ b/src/state/apply_operator.cpp
@@ -141,10 +141,13 @@
 {
     const pb::OperatorCall& call = message.operator_call();
     if (auto status = first_error(check_id("operation_id", call.operation_id()),
-                                  check_id("who", call.who()), check_text("why", call.why()));
+                                  check_text("who", call.who()), check_text("why", call.why()));
         !status.ok()) {
         return status;
     }
+    if (is_blank(call.who())) {
+        return make_error(error_code::invalid_request, "a change needs the name of who makes it");
+    }
     const base::operation_id id{call.operation_id()};
     const std::uint64_t fingerprint = fingerprint_of(message);
     if (const operation_record* const first = data.operations.find(id)) {
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -3,6 +3,9 @@
 #include "checks.h"
 #include "handlers.h"
 
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
+#include <google/protobuf/wire_format_lite.h>
 #include <xxhash.h>
 
 #include <cstring>
@@ -61,12 +64,19 @@
     return payload;
 }
 
-template <class Map, class Messages>
-void add_all(const Map& map, Messages* messages)
+/// Writes the records as the repeated field `field` of the message Snapshot. One record at a time
+/// is faster than building the whole message, which holds every record a second time.
+template <class Map>
+void write_all(const Map& map, int field, google::protobuf::io::CodedOutputStream& out)
 {
-    messages->Reserve(static_cast<int>(map.size()));
+    using google::protobuf::internal::WireFormatLite;
+    const std::uint32_t tag =
+        WireFormatLite::MakeTag(field, WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
     for (const auto& [key, slot] : map.slots()) {
-        *messages->Add() = to_proto(slot.value);
+        const auto message = to_proto(slot.value);
+        out.WriteTag(tag);
+        out.WriteVarint32(static_cast<std::uint32_t>(message.ByteSizeLong()));
+        message.SerializeWithCachedSizes(&out);
     }
 }
 
@@ -180,18 +190,23 @@
 
 std::string encode_data(const cell_data& data)
 {
-    pb::Snapshot message;
-    write_header(data, message);
-    add_all(data.keys, message.mutable_keys());
-    add_all(data.operations, message.mutable_operations());
-    add_all(data.audit, message.mutable_audit());
-    add_all(data.targets, message.mutable_targets());
-    add_all(data.workers, message.mutable_workers());
-    add_all(data.jobs, message.mutable_jobs());
-    add_all(data.tasks, message.mutable_tasks());
-    add_all(data.intents, message.mutable_intents());
-    add_all(data.results, message.mutable_results());
-    return frame_snapshot(message.SerializeAsString());
+    pb::Snapshot header;
+    write_header(data, header);
+    std::string payload = header.SerializeAsString();
+    {
+        google::protobuf::io::StringOutputStream stream{&payload};
+        google::protobuf::io::CodedOutputStream out{&stream};
+        write_all(data.keys, pb::Snapshot::kKeysFieldNumber, out);
+        write_all(data.operations, pb::Snapshot::kOperationsFieldNumber, out);
+        write_all(data.audit, pb::Snapshot::kAuditFieldNumber, out);
+        write_all(data.targets, pb::Snapshot::kTargetsFieldNumber, out);
+        write_all(data.workers, pb::Snapshot::kWorkersFieldNumber, out);
+        write_all(data.jobs, pb::Snapshot::kJobsFieldNumber, out);
+        write_all(data.tasks, pb::Snapshot::kTasksFieldNumber, out);
+        write_all(data.intents, pb::Snapshot::kIntentsFieldNumber, out);
+        write_all(data.results, pb::Snapshot::kResultsFieldNumber, out);
+    }
+    return frame_snapshot(payload);
 }
 
 absl::StatusOr<std::unique_ptr<cell_data>> decode_data(std::string_view bytes,
--- a/tests/state/random_test.cpp
+++ b/tests/state/random_test.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/base/random_source.h"
 
 #include "cell_fixture.h"
+#include "snapshot.h"
 #include "support/seed.h"
 
 #include <map>
@@ -24,6 +25,7 @@
     CPPUNIT_TEST_SUITE(random_test);
     CPPUNIT_TEST(apply_random_commands_replicas_agree_and_invariants_hold);
     CPPUNIT_TEST(decode_damaged_snapshot_is_corrupt);
+    CPPUNIT_TEST(decode_snapshot_of_other_content_is_corrupt);
     CPPUNIT_TEST_SUITE_END();
 
     static state_limits small_limits()
@@ -352,6 +354,38 @@
         }
         assert_ok(cell_state::decode_snapshot(damaged, small_limits()).status());
     }
+
+    // Guards against a snapshot whose checksum is right but whose content isn't what was encoded,
+    // such as one of a program with other rules.
+    void decode_snapshot_of_other_content_is_corrupt()
+    {
+        run{*this, lovagebeam::test::seeds().first}.execute();
+        const std::string bytes = m_cell.encode_snapshot();
+        constexpr std::size_t frame_head = 16;
+        constexpr std::size_t frame_tail = 16;
+        pb::Snapshot whole;
+        CPPUNIT_ASSERT(whole.ParseFromString(
+            bytes.substr(frame_head, bytes.size() - frame_head - frame_tail)));
+        const auto status_of = [](const pb::Snapshot& message) {
+            return cell_state::decode_snapshot(
+                       lovagebeam::state::frame_snapshot(message.SerializeAsString()),
+                       small_limits())
+                .status();
+        };
+        assert_ok(status_of(whole));
+        pb::Snapshot other = whole;
+        other.mutable_audit()->RemoveLast();
+        assert_code(error_code::snapshot_corrupt, status_of(other));
+        other = whole;
+        other.set_version(whole.version() + 1);
+        assert_code(error_code::snapshot_corrupt, status_of(other));
+        other = whole;
+        other.set_format(2);
+        assert_code(error_code::snapshot_corrupt, status_of(other));
+        other = whole;
+        other.add_tasks()->set_job("none");
+        assert_code(error_code::snapshot_corrupt, status_of(other));
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(random_test);
