Iterate over a copy of the operations in the state's random run

Cause: the address sanitizer found that the run added to the list that it was iterating over, when an operation's record had expired. Change: the final check sends a copy of the list. Ruled out: a fault of the package; only the test held the list.

--- a/tests/state/random_test.cpp
+++ b/tests/state/random_test.cpp
@@ -313,7 +313,9 @@
 
         void check_operations()
         {
-            for (const command& sent : m_operations) {
+            // A copy, since an operation whose record has expired is noted again.
+            const std::vector<command> operations = m_operations;
+            for (const command& sent : operations) {
                 send(lovagebeam::state::encode_command(sent, m_test.m_now));
             }
         }
