--- a/include/lovagebeam/consensus/effects.h
+++ b/include/lovagebeam/consensus/effects.h
@@ -101,8 +101,8 @@
 struct contact_times {
     /// Leader: the latest time at which a majority of the voters is known to have followed it.
     std::optional<base::time_point> quorum_heard;
-    /// Leader: until then no other leader can exist. Empty without a lease, and after a transfer
-    /// of leadership was begun in this term.
+    /// Leader: until then no leader of a later term can exist. Empty without a lease, and after a
+    /// transfer of leadership was begun in this term.
     std::optional<base::time_point> lease_valid_until;
     /// Others: when a message of the present leader last arrived.
     std::optional<base::time_point> leader_heard;
