Close idle callers at once; look at unread bytes before closing a peer

Cause: an idle connection without an answer under way stayed for up to 2 s to discard input, which made a drain slow; a process that resumed after a pause of 5 s closed accepted peers whose bytes it had not read yet. Change: idle connections of the HTTP server are closed without the linger; an accepted peer connection with unread bytes isn't silent.

--- a/include/lovagebeam/peers/peer_network.h
+++ b/include/lovagebeam/peers/peer_network.h
@@ -123,7 +123,8 @@
 
     /// Queues a message. Errors: `not_connected` (also for unknown peers), `queue_full`,
     /// `message_too_large`, `shutting_down`. A message that is refused isn't sent; one that is
-    /// accepted is lost if the connection is.
+    /// accepted is lost if the connection is. While the state is `silent`, messages are accepted
+    /// and wait for the fresh connection.
     absl::Status send(const base::node_id& peer, channel which, std::string bytes);
 
     /// Returns `disconnected` for an unknown peer.
--- a/src/callers/session.cpp
+++ b/src/callers/session.cpp
@@ -99,7 +99,7 @@
                                  }
                                  self->m_buffer.commit(count);
                                  if (count == 0 || ec) {
-                                     self->linger();
+                                     self->close();
                                      return;
                                  }
                                  self->read_header();
--- a/src/peers/accepted_link.cpp
+++ b/src/peers/accepted_link.cpp
@@ -58,9 +58,7 @@
         if (ec || self->closed()) {
             return;
         }
-        const auto now = std::chrono::steady_clock::now();
-        const auto since = self->m_peer && !self->m_refused ? self->last_read() : self->m_started;
-        if (now - since >= self->m_limits.accepted_silence) {
+        if (self->is_silent()) {
             self->close(make_error(error_code::connection_silent, "nothing was received"));
             return;
         }
@@ -68,6 +66,18 @@
     });
 }
 
+// After a pause of this process, the bytes that came meanwhile are still to be read.
+bool accepted_link::is_silent()
+{
+    boost::system::error_code ec;
+    const bool has_peer = m_peer && !m_refused;
+    if (has_peer && socket().available(ec) > 0) {
+        return false;
+    }
+    const auto since = has_peer ? last_read() : m_started;
+    return std::chrono::steady_clock::now() - since >= m_limits.accepted_silence;
+}
+
 void accepted_link::on_header(std::int32_t stream, std::string_view name, std::string_view value)
 {
     incoming_stream& target = m_streams[stream];
--- a/src/peers/accepted_link.h
+++ b/src/peers/accepted_link.h
@@ -67,6 +67,7 @@
     absl::Status accept_stream(incoming_stream& stream);
     void answer(std::int32_t stream, const absl::Status& result);
     void watch_silence();
+    [[nodiscard]] bool is_silent();
 
     boost::asio::ip::address m_remote;
     accepted_owner& m_owner;
