--- a/src/routing/context.h
+++ b/src/routing/context.h
@@ -17,6 +17,13 @@
 
 using namespace std::chrono_literals;
 
+/// Slots of a home that batch work leaves free: one in 16, rounded, and none below 8 slots. Without
+/// them an urgent lookup in a full fleet waits for the next end of work.
+constexpr std::uint32_t headroom_of(std::uint32_t slots)
+{
+    return (slots + 8) / 16;
+}
+
 /// A message that this host sends to itself. It is handled in the same step.
 struct local_message {
     proto::RoutingMessage message;
