--- /dev/null
+++ b/bench/placement_bench/cost.cpp
@@ -0,0 +1,172 @@
+#include "cost.h"
+
+#include "lovagebeam/base/random_source.h"
+#include "lovagebeam/placement/scheduler.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <deque>
+#include <fstream>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::bench {
+
+namespace {
+
+using namespace std::chrono_literals;
+using namespace placement;
+
+/// Resident memory of this process in bytes.
+double resident()
+{
+    std::ifstream in{"/proc/self/statm"};
+    double size = 0;
+    double pages = 0;
+    in >> size >> pages;
+    return pages * 4096.0;
+}
+
+class cost_run {
+public:
+    cost_run(std::uint64_t seed, std::uint32_t workers, std::uint32_t tasks)
+        : m_random{seed}, m_workers{workers}, m_tasks{tasks},
+          m_scheduler{scheduler_builder{}.build(m_now).value()}
+    {
+    }
+
+    void run()
+    {
+        const double before = resident();
+        for (std::uint32_t i = 0; i < m_workers; ++i) {
+            give(seen(i));
+        }
+        const double with_workers = resident();
+        while (m_running.size() < m_tasks) {
+            submit();
+        }
+        const double with_tasks = resident();
+        // Keep a queue, so that each end is followed by a choice among waiting jobs.
+        fill_queue();
+        m_step_us.clear();
+        m_starts = 0;
+        const auto started = std::chrono::steady_clock::now();
+        while (std::chrono::steady_clock::now() - started < 3s) {
+            churn();
+        }
+        report((with_workers - before) / m_workers, (with_tasks - with_workers) / m_tasks);
+    }
+
+private:
+    worker_seen seen(std::uint32_t i) const
+    {
+        worker_seen worker;
+        worker.worker = base::worker_id{"worker-" + std::to_string(i)};
+        worker.domain = base::failure_domain{"domain-" + std::to_string(i % 9)};
+        worker.rack = rack_id{"rack-" + std::to_string(i / 6)};
+        worker.capacity = {base::millicores{64000}, base::bytes{std::int64_t{256} << 30},
+                           accelerators{1}};
+        return worker;
+    }
+
+    void give(const event& input)
+    {
+        const auto before = std::chrono::steady_clock::now();
+        decisions result = m_scheduler.step(m_now, input);
+        const std::chrono::duration<double> took = std::chrono::steady_clock::now() - before;
+        m_step_us.push_back(took.count() * 1e6);
+        m_busy += took.count();
+        for (const worker_command& command : result.commands) {
+            if (command.kind == command_kind::start) {
+                m_running.push_back(command.task);
+                ++m_starts;
+            }
+        }
+        for (const placement_decision& placed : result.placements) {
+            give(decision_committed{placed.id});
+        }
+    }
+
+    void submit()
+    {
+        job_spec spec;
+        spec.id = base::job_id{"job-" + std::to_string(m_next++)};
+        spec.team = base::team_id{"team-" + std::to_string(m_random.below(48))};
+        spec.command = "command-" + std::to_string(m_random.below(4));
+        spec.tasks = 1;
+        spec.kind = m_random.chance(0.01) ? job_kind::service : job_kind::batch;
+        // Fills the fleet at the given number of tasks.
+        const auto cpu = static_cast<std::int64_t>(64000.0 * m_workers / m_tasks);
+        spec.size = {
+            base::millicores{cpu * static_cast<std::int64_t>(m_random.between(40, 120)) / 100},
+            base::bytes{std::int64_t{8} << 30}, accelerators{0}};
+        spec.run_time = std::chrono::seconds{m_random.between(1, 100)};
+        spec.deadline = m_now + std::chrono::seconds{m_random.between(100, 1000)};
+        give(job_accepted{spec});
+    }
+
+    void fill_queue()
+    {
+        while (m_scheduler.fleet().waiting < 2000) {
+            submit();
+        }
+    }
+
+    void churn()
+    {
+        m_now += 13us;
+        const std::size_t at = m_random.below(m_running.size());
+        std::swap(m_running[at], m_running.back());
+        const base::task_id ended = m_running.back();
+        m_running.pop_back();
+        task_ended report;
+        report.task = ended;
+        report.run_time = 10s;
+        give(report);
+        submit();
+        if (++m_rounds % 7700 == 0) {
+            give(tick{});
+        }
+    }
+
+    void report(double worker_bytes, double task_bytes)
+    {
+        std::sort(m_step_us.begin(), m_step_us.end());
+        const auto at = [this](double part) {
+            return m_step_us[static_cast<std::size_t>(part * (m_step_us.size() - 1))];
+        };
+        double busy = 0;
+        for (const double step : m_step_us) {
+            busy += step * 1e-6;
+        }
+        std::printf("cost workers=%u tasks=%u running=%zu p50_us=%.1f p99_us=%.1f p999_us=%.1f "
+                    "max_us=%.0f starts_per_s=%.0f bytes_per_worker=%.0f bytes_per_task=%.0f\n",
+                    m_workers, m_tasks, m_running.size(), at(0.5), at(0.99), at(0.999),
+                    m_step_us.back(), m_starts / busy, worker_bytes, task_bytes);
+    }
+
+    base::random_source m_random;
+    std::uint32_t m_workers;
+    std::uint32_t m_tasks;
+    base::time_point m_now{std::chrono::hours{1}};
+    scheduler m_scheduler;
+    std::deque<base::task_id> m_running;
+    std::vector<double> m_step_us;
+    std::uint64_t m_next = 0;
+    std::uint64_t m_rounds = 0;
+    double m_starts = 0;
+    double m_busy = 0;
+};
+
+} // namespace
+
+void run_cost(std::uint64_t seed)
+{
+    for (const auto& [workers, tasks] :
+         std::initializer_list<std::pair<std::uint32_t, std::uint32_t>>{
+             {50, 175}, {500, 1750}, {2000, 7000}, {11000, 38000}}) {
+        cost_run{seed, workers, tasks}.run();
+    }
+}
+
+} // namespace lovagebeam::bench
--- a/src/placement/balancer.cpp
+++ b/src/placement/balancer.cpp
@@ -14,6 +14,8 @@
 /// Checkpoints in one pass, so that a pass stays short and their effect is seen before the next.
 constexpr std::size_t most_at_once = 64;
 constexpr slot compared_workers = 512;
+/// A task that just started or resumed is left to do some work first.
+constexpr base::duration least_run = std::chrono::seconds{5};
 
 } // namespace
 
@@ -120,7 +122,7 @@
         }
         const task_record& task = m_state.tasks[at];
         if (task.job == no_slot || m_state.jobs[task.job].spec.kind != job_kind::batch ||
-            task.phase != task_phase::running) {
+            task.phase != task_phase::running || m_state.now - task.started < least_run) {
             continue;
         }
         const job_spec& spec = m_state.jobs[task.job].spec;
@@ -170,7 +172,8 @@
                looked_at < std::min(compared_workers, m_state.index.size())) {
             ++looked_at;
             m_next_worker = (m_next_worker + 1) % m_state.index.size();
-            if (m_state.usable(m_state.workers[m_next_worker])) {
+            const worker_record& worker = m_state.workers[m_next_worker];
+            if (m_state.usable(worker) && worker.reserved_for == no_slot && !worker.probation) {
                 take_on(m_next_worker, team, size, shares, goals);
             }
         }
--- a/src/placement/gang_planner.cpp
+++ b/src/placement/gang_planner.cpp
@@ -267,21 +267,40 @@
     }
 }
 
-void gang_planner::reclaim()
+void gang_planner::reclaim(bool from_all)
 {
     m_state.reserved.reclaiming = true;
+    const job_record& job = m_state.jobs[m_state.reserved.job];
+    const double share = m_state.weighted_share(job.team);
+    auto needed = static_cast<std::int64_t>(job.spec.kind == job_kind::gang ? job.pending.size()
+                                                                            : std::size_t{1});
     for (const slot worker : m_state.reserved.workers) {
+        resources free = m_state.index.free(worker);
+        const std::int64_t places = std::min(needed, times_fitting(job.size, movable(worker)));
+        needed -= places;
+        const resources wanted = scaled(job.size, places);
         const std::vector<slot> tasks = m_state.workers[worker].tasks;
         for (const slot at : tasks) {
+            if (wanted.fits_in(free)) {
+                break;
+            }
             const task_record& task = m_state.tasks[at];
             if (task.job == no_slot || task.job == m_state.reserved.job ||
-                m_state.jobs[task.job].spec.kind != job_kind::batch) {
+                m_state.jobs[task.job].spec.kind != job_kind::batch ||
+                (!from_all && m_state.weighted_share(task.team) <= share)) {
                 continue;
             }
-            if (!m_preempt.checkpoint(at, reason::preempted_for_gang) &&
-                m_state.jobs[task.job].spec.repeatable) {
+            free += task.size;
+            if (task.phase == task_phase::checkpointing || task.phase == task_phase::stopping ||
+                m_preempt.checkpoint(at, reason::preempted_for_gang)) {
+                continue;
+            }
+            if (from_all && m_state.jobs[task.job].spec.repeatable) {
                 m_preempt.stop(at, reason::preempted_for_gang);
             }
+            else {
+                free -= task.size;
+            }
         }
     }
 }
@@ -303,8 +322,10 @@
         cancel_reservation();
         return;
     }
-    if (m_state.now - m_state.reserved.made > m_state.settings.gang_patience) {
-        reclaim();
+    const base::duration waited = m_state.now - m_state.reserved.made;
+    if (waited > m_state.settings.share_patience) {
+        // From teams above the share of the gang's team first; from all when it waits too long.
+        reclaim(waited > m_state.settings.gang_patience);
     }
 }
 
--- a/src/placement/gang_planner.h
+++ b/src/placement/gang_planner.h
@@ -34,7 +34,7 @@
     void reserve(slot job, std::size_t tasks);
     void cancel_reservation();
     void check_reservation();
-    void reclaim();
+    void reclaim(bool from_all);
     [[nodiscard]] base::time_point free_at(slot worker) const;
     [[nodiscard]] resources movable(slot worker) const;
 
