--- /dev/null
+++ b/tests/placement/policy_test.cpp
@@ -0,0 +1,176 @@
+#include "harness.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <set>
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::placement;
+using namespace lovagebeam::placement::test;
+
+class policy_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(policy_test);
+    CPPUNIT_TEST(service_several_domains_is_spread);
+    CPPUNIT_TEST(service_drained_worker_is_replaced_before_it_is_stopped);
+    CPPUNIT_TEST(batch_least_slack_goes_first);
+    CPPUNIT_TEST(gang_without_room_for_all_starts_none);
+    CPPUNIT_TEST(gang_under_steady_small_work_is_placed_at_last);
+    CPPUNIT_TEST(urgent_full_fleet_checkpoints_then_starts);
+    CPPUNIT_TEST(urgent_full_fleet_of_unrepeatable_work_throttles);
+    CPPUNIT_TEST(team_limit_is_not_exceeded_by_gang);
+    CPPUNIT_TEST(team_below_share_gets_capacity_back);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void service_several_domains_is_spread()
+    {
+        harness cell;
+        for (int i = 0; i < 6; ++i) {
+            cell.add_worker("w" + std::to_string(i), 4000, "d" + std::to_string(i / 2));
+        }
+        cell.submit(job("s", job_kind::service, 1000, 3));
+        std::set<std::string> domains;
+        for (const worker_command& task : cell.tasks_of("s")) {
+            domains.insert(cell.workers.at(task.worker.str()).domain.str());
+        }
+        CPPUNIT_ASSERT_EQUAL(std::size_t{3}, domains.size());
+    }
+
+    // Guards against a planned move that leaves a service without its task.
+    void service_drained_worker_is_replaced_before_it_is_stopped()
+    {
+        harness cell;
+        cell.add_worker("w0", 1000);
+        cell.submit(job("s", job_kind::service, 500));
+        cell.announce("w0");
+        cell.add_worker("w1", 1000);
+        cell.give(worker_draining{base::worker_id{"w0"}, true});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.tasks_of("s").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.commands(command_kind::stop, "s"));
+        cell.announce("w1");
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.commands(command_kind::stop, "s"));
+        CPPUNIT_ASSERT(cell.sent.back().why == reason::stopped_replaced);
+    }
+
+    void batch_least_slack_goes_first()
+    {
+        harness cell;
+        cell.add_worker("w0", 1000);
+        cell.submit(job("first", job_kind::batch, 900));
+        job_spec relaxed = job("relaxed", job_kind::batch, 900);
+        relaxed.deadline = cell.now + 1h;
+        job_spec tight = job("tight", job_kind::batch, 900);
+        tight.deadline = cell.now + 2min;
+        cell.submit(relaxed);
+        cell.submit(tight);
+        cell.end(cell.tasks_of("first").at(0).task);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.tasks_of("tight").size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.tasks_of("relaxed").size());
+    }
+
+    void gang_without_room_for_all_starts_none()
+    {
+        harness cell;
+        cell.add_worker("w0", 1000);
+        cell.add_worker("w1", 1000);
+        cell.submit(job("b", job_kind::batch, 600));
+        cell.submit(job("g", job_kind::gang, 900, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.tasks_of("g").size());
+        cell.end(cell.tasks_of("b").at(0).task);
+        cell.pass(200ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.tasks_of("g").size());
+    }
+
+    // Guards against small tasks that take each hole before it is large enough for the gang.
+    void gang_under_steady_small_work_is_placed_at_last()
+    {
+        scheduler_settings settings;
+        settings.gang_patience = 5s;
+        harness cell{settings};
+        cell.add_worker("w0", 1000);
+        cell.add_worker("w1", 1000);
+        for (int i = 0; i < 40; ++i) {
+            cell.submit(job("b" + std::to_string(i), job_kind::batch, 300));
+        }
+        cell.submit(job("g", job_kind::gang, 900, 2));
+        for (int i = 0; i < 60 && cell.tasks_of("g").empty(); ++i) {
+            cell.pass(200ms);
+            for (const worker_command& command : std::exchange(cell.sent, {})) {
+                const bool ends = command.kind == command_kind::checkpoint;
+                if (ends && cell.held.contains(command.task.str())) {
+                    cell.end(command.task, task_outcome::checkpointed);
+                }
+            }
+        }
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(cell.why("g"), std::size_t{2}, cell.tasks_of("g").size());
+    }
+
+    void urgent_full_fleet_checkpoints_then_starts()
+    {
+        harness cell;
+        cell.add_worker("w0", 1000);
+        cell.submit(job("b", job_kind::batch, 990));
+        cell.pass(1s);
+        cell.submit(job("u", job_kind::urgent, 500));
+        CPPUNIT_ASSERT_EQUAL(std::string{"waiting_for_preemption"}, cell.why("u"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.commands(command_kind::checkpoint, "b"));
+        cell.pass(600ms);
+        // The checkpoint is overdue, so the task is stopped.
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.commands(command_kind::stop, "b"));
+        cell.end(cell.tasks_of("b").at(0).task, task_outcome::stopped);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.tasks_of("u").size());
+    }
+
+    // Guards against stopping work that can't be done again.
+    void urgent_full_fleet_of_unrepeatable_work_throttles()
+    {
+        harness cell;
+        cell.add_worker("w0", 1000);
+        job_spec once = job("once", job_kind::batch, 990);
+        once.repeatable = false;
+        once.size.memory = base::bytes{1};
+        cell.submit(once);
+        cell.submit(job("u", job_kind::urgent, 400));
+        cell.pass(2s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.commands(command_kind::stop, "once"));
+        CPPUNIT_ASSERT(cell.commands(command_kind::throttle, "once") > 0);
+        cell.give(task_throttled{cell.tasks_of("once").at(0).task, amount(495)});
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, cell.tasks_of("u").size());
+    }
+
+    void team_limit_is_not_exceeded_by_gang()
+    {
+        harness cell;
+        cell.add_worker("w0", 4000);
+        team_settings settings;
+        settings.limit_cpu = base::millicores{1500};
+        cell.give(team_changed{base::team_id{"trust"}, settings});
+        cell.submit(job("b", job_kind::batch, 600));
+        cell.submit(job("g", job_kind::gang, 500, 2));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.tasks_of("g").size());
+        cell.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::string{"waiting_for_team_limit"}, cell.why("g"));
+        cell.end(cell.tasks_of("b").at(0).task);
+        cell.pass(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.tasks_of("g").size());
+    }
+
+    // Guards against a team that borrowed the whole fleet and keeps it.
+    void team_below_share_gets_capacity_back()
+    {
+        harness cell;
+        cell.add_worker("w0", 1000);
+        cell.submit(job("a", job_kind::batch, 200, 8, "borrower"));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, cell.tasks_of("a").size());
+        cell.pass(6s);
+        cell.submit(job("b", job_kind::batch, 200, 4, "late"));
+        cell.pass(4s);
+        CPPUNIT_ASSERT(cell.commands(command_kind::checkpoint, "a") > 0);
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(policy_test);
+
+} // namespace
