--- a/src/placement/balancer.cpp
+++ b/src/placement/balancer.cpp
@@ -13,7 +13,11 @@
 constexpr double tolerated = 0.02;
 /// Checkpoints in one pass, so that a pass stays short and their effect is seen before the next.
 constexpr std::size_t most_at_once = 64;
+/// Time that freed capacity is kept for the team that it was taken for. Covers a checkpoint.
+constexpr base::duration hold_time = std::chrono::seconds{2};
 constexpr slot compared_workers = 512;
+/// A task that just started or resumed is left to do some work first.
+constexpr base::duration least_run = std::chrono::seconds{5};
 
 } // namespace
 
@@ -120,7 +124,7 @@
         }
         const task_record& task = m_state.tasks[at];
         if (task.job == no_slot || m_state.jobs[task.job].spec.kind != job_kind::batch ||
-            task.phase != task_phase::running) {
+            task.phase != task_phase::running || m_state.now - task.started < least_run) {
             continue;
         }
         const job_spec& spec = m_state.jobs[task.job].spec;
@@ -140,6 +144,7 @@
             m_taken.push_back({at, task.id, task.team, team, task.size});
         }
     }
+    m_state.hold(worker, team, m_state.now + hold_time);
     after[team] += m_state.dominant_share(size);
     shares = std::move(after);
     return true;
@@ -170,7 +175,9 @@
                looked_at < std::min(compared_workers, m_state.index.size())) {
             ++looked_at;
             m_next_worker = (m_next_worker + 1) % m_state.index.size();
-            if (m_state.usable(m_state.workers[m_next_worker])) {
+            const worker_record& worker = m_state.workers[m_next_worker];
+            if (m_state.usable(worker) && worker.reserved_for == no_slot && !worker.probation &&
+                m_state.now >= worker.held_until) {
                 take_on(m_next_worker, team, size, shares, goals);
             }
         }
