--- a/src/storage/log_store.cpp
+++ b/src/storage/log_store.cpp
@@ -164,28 +164,15 @@
     return absl::OkStatus();
 }
 
-// The active segment is made durable first: recovery takes damage in any but the last segment for
-// damage of durable bytes. For the same reason an unfinished new segment is removed durably before
-// the old one goes on.
-absl::Status log_store_impl::begin_segment()
+// An unfinished segment is removed durably before the one before it goes on: recovery takes damage
+// in any but the last segment for damage of durable bytes.
+absl::StatusOr<std::unique_ptr<file>> log_store_impl::create_segment(std::uint64_t number,
+                                                                     const std::string& head)
 {
-    if (m_active != nullptr) {
-        if (auto status = sync(); !status.ok()) {
-            return status;
-        }
-    }
-    const std::uint64_t last = m_segments.empty() ? 0 : m_segments.back().number;
-    const std::uint64_t number = last + 1;
-    std::string buffer;
-    std::string payload;
-    put_number(payload, number);
-    const std::uint64_t checksum =
-        append_record(buffer, record_kind::segment_header,
-                      payload + encode_hard_state(m_hard_state), 0, 0, {number, 0});
     auto created = m_files.open(segment_path(number), open_mode::create);
     absl::Status status = created.status();
     if (status.ok()) {
-        status = write_all(**created, 0, buffer);
+        status = write_all(**created, 0, head);
     }
     if (base::has_code(status, error_code::storage_full)) {
         if (created.ok()) {
@@ -204,9 +191,31 @@
     if (!status.ok()) {
         return fail(status);
     }
+    return created;
+}
+
+// The active segment is made durable first, for the same reason.
+absl::Status log_store_impl::begin_segment()
+{
+    if (m_active != nullptr) {
+        if (auto status = sync(); !status.ok()) {
+            return status;
+        }
+    }
+    const std::uint64_t number = m_segments.empty() ? 1 : m_segments.back().number + 1;
+    std::string payload;
+    put_number(payload, number);
+    payload += encode_hard_state(m_hard_state);
+    std::string head;
+    const std::uint64_t checksum =
+        append_record(head, record_kind::segment_header, payload, 0, 0, {number, 0});
+    auto created = create_segment(number, head);
+    if (!created.ok()) {
+        return created.status();
+    }
     m_segments.push_back({number, 0});
     m_active = *std::move(created);
-    m_size = buffer.size();
+    m_size = head.size();
     m_durable = m_size;
     m_checksum = checksum;
     return absl::OkStatus();
--- a/src/storage/log_store_impl.h
+++ b/src/storage/log_store_impl.h
@@ -79,6 +79,8 @@
     absl::Status write_records(const std::string& buffer, std::uint64_t checksum);
     absl::Status write_reset();
     absl::Status begin_segment();
+    absl::StatusOr<std::unique_ptr<file>> create_segment(std::uint64_t number,
+                                                         const std::string& head);
     absl::Status remove_segment_file(std::uint64_t number);
 
     file_system& m_files;
