--- a/include/lovagebeam/routing/router.h
+++ b/include/lovagebeam/routing/router.h
@@ -20,8 +20,10 @@
     double drift = 0.01;
     /// After this time a target that did not answer its fence counts as in doubt.
     base::duration fence_patience = std::chrono::milliseconds{500};
-    /// A target that has not announced itself for this long gets no new work.
-    base::duration announce_patience = std::chrono::milliseconds{2000};
+    /// A target that has not announced itself for this long gets no new work. One announcement in
+    /// 500 ms may be lost, and the time must stay well below the 2 s after which a leaving target
+    /// gets no new work.
+    base::duration announce_patience = std::chrono::milliseconds{1200};
     std::uint32_t connections_per_target = 20;
     std::size_t home_queue_limit = 4096;       ///< Attempts that wait at a home.
     std::size_t early_message_limit = 4096;    ///< Messages of a newer epoch that are kept.
--- a/src/routing/context.h
+++ b/src/routing/context.h
@@ -61,6 +61,10 @@
     effects out;
     std::deque<local_message> local;
     bool is_shutting_down = false;
+    base::time_point last_tick;
+
+    /// Whether this process has just been stopped for a while, so that what it reads now is old.
+    [[nodiscard]] bool was_stopped() const { return now - last_tick > 200ms; }
 
 private:
     std::uint64_t m_incarnation;
--- a/src/routing/epoch_sync.cpp
+++ b/src/routing/epoch_sync.cpp
@@ -7,10 +7,25 @@
 
 constexpr base::duration resend_interval = 100ms;
 
+/// A host that left on purpose hands over its results within this time or not at all.
+constexpr base::duration departed_patience = 1s;
+
 } // namespace
 
 void epoch_sync::on_epoch_installed()
 {
+    if (m_is_complete) {
+        m_departed.clear();
+    }
+    m_departed_reported.clear();
+    std::erase_if(m_departed, [&](const auto& node) { return m_shared.members.is_member(node); });
+    for (const auto& [node, state] : m_members) {
+        if (m_leaving.contains(node) && !m_shared.members.is_member(node)) {
+            m_departed.insert(node);
+        }
+    }
+    m_leaving.clear();
+    m_departed_until = m_shared.now + departed_patience;
     m_members.clear();
     m_list_versions.clear();
     m_are_targets_known = false;
@@ -23,6 +38,10 @@
     if (m_shared.members.is_joined()) {
         send_targets();
     }
+    else if (m_shared.members.has_just_left() || m_shared.is_shutting_down) {
+        m_version = 1;
+        send_reports();
+    }
 }
 
 void epoch_sync::send_targets()
@@ -31,6 +50,9 @@
         if (!state.has_acked_targets) {
             proto::RoutingMessage message;
             m_home.fill_targets(member, *message.mutable_epoch_targets());
+            for (const auto& node : m_departed) {
+                message.mutable_epoch_targets()->add_departed(node.str());
+            }
             m_shared.send(member, std::move(message));
         }
     }
@@ -45,6 +67,12 @@
     }
     if (!found->second.has_sent_targets) {
         found->second.has_sent_targets = true;
+        for (const auto& name : message.departed()) {
+            const base::node_id node{name};
+            if (!m_departed_reported.contains(node) && !m_shared.members.is_member(node)) {
+                m_departed.insert(node);
+            }
+        }
         for (const auto& state : message.targets()) {
             m_home.add_target(from_proto(state),
                               std::ranges::find(message.vouched(), state.target()) !=
@@ -112,17 +140,23 @@
 void epoch_sync::on_report(const base::node_id& from, proto::EpochReport&& message)
 {
     const auto found = m_members.find(from);
-    if (found == m_members.end() || !m_shared.members.is_joined()) {
+    if (!m_shared.members.is_joined()) {
         return;
     }
     proto::RoutingMessage ack;
     ack.mutable_epoch_report_ack()->set_version(message.version());
     m_shared.send(from, std::move(ack));
-    if (message.version() <= found->second.report) {
+    if (found == m_members.end()) {
+        m_departed.erase(from);
+        m_departed_reported.insert(from);
+    }
+    else if (message.version() <= found->second.report) {
         return;
     }
-    found->second.report = message.version();
-    found->second.in_doubt.assign(message.in_doubt().begin(), message.in_doubt().end());
+    if (found != m_members.end()) {
+        found->second.report = message.version();
+        found->second.in_doubt.assign(message.in_doubt().begin(), message.in_doubt().end());
+    }
     for (auto& result : *message.mutable_results()) {
         m_owner.adopt_result(result);
     }
@@ -132,6 +166,17 @@
     check_complete();
 }
 
+bool epoch_sync::is_handed_over() const
+{
+    return std::ranges::all_of(
+        m_members, [&](const auto& item) { return item.second.acked_report >= m_version; });
+}
+
+bool epoch_sync::is_waiting_for_departed() const
+{
+    return !m_departed.empty() && m_shared.now < m_departed_until;
+}
+
 void epoch_sync::check_complete()
 {
     bool is_in_doubt = false;
@@ -141,6 +186,9 @@
         }
         is_in_doubt = is_in_doubt || !state.in_doubt.empty();
     }
+    if (!m_is_complete && is_waiting_for_departed()) {
+        return;
+    }
     if (!m_is_complete) {
         m_is_complete = true;
         m_had_doubts = is_in_doubt;
@@ -187,9 +235,15 @@
 void epoch_sync::on_tick()
 {
     if (!m_shared.members.is_joined()) {
+        if (m_version > 0 && m_shared.now >= m_next_send) {
+            send_reports();
+        }
         return;
     }
     make_report();
+    if (!m_is_complete) {
+        check_complete();
+    }
     if (m_shared.now < m_next_send) {
         return;
     }
--- a/src/routing/home_records.h
+++ b/src/routing/home_records.h
@@ -61,8 +61,9 @@
     base::epoch known;       ///< The epoch for which this host knows what runs there.
     base::time_point fence_again;
     base::time_point last_announced;
-    std::uint32_t used = 0;        ///< Slots of attempts that run or may run.
-    std::uint32_t connections = 0; ///< Calls under way.
+    base::time_point leaving_until; ///< Overtaken announcements do not end it before.
+    std::uint32_t used = 0;         ///< Slots of attempts that run or may run.
+    std::uint32_t connections = 0;  ///< Calls under way.
     std::uint64_t added_version = 0;
     double retry_tokens = 2;
     target_health health;
--- a/src/routing/home_targets.cpp
+++ b/src/routing/home_targets.cpp
@@ -7,6 +7,7 @@
 
 constexpr base::duration status_interval = 50ms;
 constexpr base::duration targets_interval = 100ms;
+constexpr base::duration leaving_hold = 5s;
 constexpr base::duration fence_timeout = 300ms;
 constexpr base::duration fence_retry = 200ms;
 constexpr base::duration silent_retention = 60s;
@@ -21,6 +22,11 @@
     if (m_shared.members.home_of(message.target().target()) != m_shared.members.self()) {
         return;
     }
+    const std::string run =
+        "announced/" + message.id().node() + '/' + std::to_string(message.id().incarnation());
+    if (m_shared.was_stopped() || !m_windows[run].accept(message.id().number())) {
+        return;
+    }
     target_info info = from_proto(message.target());
     if (info.slots == 0 || info.target.empty()) {
         return;
@@ -29,7 +35,10 @@
     home_target& target = m_targets.at(message.target().target());
     target.info = std::move(info);
     target.last_announced = m_shared.now;
-    target.is_leaving = message.leaving();
+    if (message.leaving()) {
+        target.leaving_until = m_shared.now + leaving_hold;
+    }
+    target.is_leaving = m_shared.now < target.leaving_until;
     target.is_draining = m_shared.limits->is_target_draining(target.info.target);
     if (m_is_complete && target.fenced != m_shared.members.number()) {
         fence(message.target().target(), target);
@@ -287,11 +296,19 @@
     status.set_slots(slots);
     status.set_free_slots(slots - used);
     status.set_waiting(static_cast<std::uint32_t>(m_waiting));
+    status.set_leaving(m_shared.is_shutting_down);
     for (const auto& member : m_shared.members.members()) {
         m_shared.send(member, proto::RoutingMessage{message});
     }
 }
 
+void target_home::announce_leaving()
+{
+    if (m_shared.members.is_joined()) {
+        send_status();
+    }
+}
+
 void target_home::on_tick()
 {
     while (const auto id = m_timers.pop_due(m_shared.now)) {
--- a/src/routing/membership.cpp
+++ b/src/routing/membership.cpp
@@ -17,12 +17,15 @@
 bool membership::install(base::epoch number, std::vector<base::node_id> members,
                          bool is_self_joined)
 {
-    if (number <= m_number) {
+    if (number.value() <= m_number.value()) {
         return false;
     }
-    std::ranges::sort(members);
-    const bool is_joined = is_self_joined && std::ranges::binary_search(members, m_self);
+    std::ranges::sort(members, node_order{});
+    const bool is_joined =
+        is_self_joined && std::ranges::binary_search(members, m_self, node_order{});
     m_is_consecutive = m_is_joined && is_joined && number == m_number.next();
+    m_has_just_left =
+        m_is_joined && !is_joined && !std::ranges::binary_search(members, m_self, node_order{});
     m_is_joined = is_joined;
     if (m_is_joined && !m_first_joined) {
         m_first_joined = number;
@@ -43,7 +46,7 @@
 
 bool membership::is_member(const base::node_id& node) const
 {
-    return std::ranges::binary_search(m_members, node);
+    return std::ranges::binary_search(m_members, node, node_order{});
 }
 
 const base::node_id& membership::owner_of(std::string_view team) const
--- a/src/routing/membership.h
+++ b/src/routing/membership.h
@@ -8,6 +8,14 @@
 
 namespace lovagebeam::routing {
 
+/// Orders hosts by name.
+struct node_order {
+    bool operator()(const base::node_id& left, const base::node_id& right) const
+    {
+        return left.str() < right.str();
+    }
+};
+
 /// The membership epoch as this host knows it, its member lease, and ownership by rendezvous hash.
 class membership {
 public:
@@ -39,13 +47,16 @@
     /// its refusal prove that no earlier copy of a message was accepted.
     [[nodiscard]] bool remembers(base::epoch number) const
     {
-        return m_first_joined && number >= *m_first_joined;
+        return m_first_joined && number.value() >= m_first_joined->value();
     }
 
     /// Whether this host was joined in the epoch just before the present one, so that nobody can
     /// have acted in its place in between.
     [[nodiscard]] bool is_consecutive() const { return m_is_consecutive; }
 
+    /// Whether this host was joined in the epoch before and no longer belongs to this one.
+    [[nodiscard]] bool has_just_left() const { return m_has_just_left; }
+
     /// Returns the host that owns `team`, or an empty id if there are no members.
     [[nodiscard]] const base::node_id& owner_of(std::string_view team) const;
     [[nodiscard]] const base::node_id& home_of(std::string_view target) const;
@@ -59,6 +70,7 @@
     std::vector<std::uint64_t> m_hashes; ///< Of the members' ids.
     bool m_is_joined = false;
     bool m_is_consecutive = false;
+    bool m_has_just_left = false;
     std::optional<base::epoch> m_first_joined;
     base::time_point m_lease_until;
 };
--- a/src/routing/owner_dispatch.cpp
+++ b/src/routing/owner_dispatch.cpp
@@ -245,7 +245,9 @@
         return;
     }
     request.is_confirmed_by_home = true;
-    request.seen_epoch = std::max(request.seen_epoch, number);
+    if (number.value() > request.seen_epoch.value()) {
+        request.seen_epoch = number;
+    }
     if (!message.target().empty()) {
         request.target = message.target();
     }
--- a/src/routing/owner_takeover.cpp
+++ b/src/routing/owner_takeover.cpp
@@ -153,7 +153,8 @@
         fresh.phase = request_phase::dispatched;
     }
     owner_request& request = m_requests.at(number);
-    if (request.phase == request_phase::done) {
+    if (request.phase == request_phase::done || is_queued(request)) {
+        // Ended after the report was made; a queued one was refused and waits for its retry.
         return;
     }
     confirm_running(number, request, home);
@@ -200,8 +201,8 @@
         const bool is_open = request.phase == request_phase::dispatched ||
                              request.phase == request_phase::committing;
         if (is_open && request.team->is_owned &&
-            request.attempt_epoch < m_shared.members.number() &&
-            request.seen_epoch < m_shared.members.number()) {
+            request.attempt_epoch.value() < m_shared.members.number().value() &&
+            request.seen_epoch.value() < m_shared.members.number().value()) {
             orphans.push_back(number);
         }
     }
@@ -265,6 +266,10 @@
         }
         return;
     }
+    if (is_queued(request)) {
+        // A copy of the refusal after which it was queued again.
+        return;
+    }
     release(number, request);
     if (message.service_us() > 0) {
         record_service(request, message.service_us());
@@ -280,8 +285,10 @@
         request.status = message.status();
         finish(number, request, result, error_code::internal_error);
     }
-    else if (result == outcome::not_run && !request.is_adopted) {
-        retry_or_refuse(number, request, code_from(message.code()));
+    else if (result == outcome::not_run) {
+        // The body of an adopted attempt is not here: the entry host submits it again.
+        request.is_adopted ? finish(number, request, result, error_code::stale_epoch)
+                           : retry_or_refuse(number, request, code_from(message.code()));
     }
     else {
         request.body.clear();
@@ -313,9 +320,10 @@
     else if (is_queued(request)) {
         leave_queue(request);
     }
-    else {
+    else if (request.phase != request_phase::resolving) {
         return;
     }
+    m_by_attempt.erase(request.attempt);
     request.attempt = message.attempt();
     m_by_attempt[request.attempt] = number;
     request.body =
--- a/src/routing/router.cpp
+++ b/src/routing/router.cpp
@@ -55,7 +55,11 @@
         m_home.on_limits_changed();
         m_owner.on_limits_changed();
     }
-    void handle(shutdown_requested&&) { m_shared.is_shutting_down = true; }
+    void handle(shutdown_requested&&)
+    {
+        m_shared.is_shutting_down = true;
+        m_home.announce_leaving();
+    }
 
     void handle_local();
     void receive(const base::node_id& from, proto::RoutingMessage&& message);
@@ -84,6 +88,7 @@
 
 void router::implementation::handle(tick&&)
 {
+    m_shared.last_tick = m_shared.now;
     m_sync.on_tick();
     m_home.on_tick();
     m_owner.on_tick();
@@ -107,8 +112,13 @@
 
 void router::implementation::handle(target_announced&& item)
 {
+    if (m_shared.was_stopped()) {
+        // It may be old: the target could have announced meanwhile that it leaves.
+        return;
+    }
     proto::RoutingMessage message;
     auto& announcement = *message.mutable_target_announcement();
+    m_shared.make_id(*announcement.mutable_id());
     *announcement.mutable_target() = to_proto(item.info);
     announcement.set_leaving(item.leaving);
     m_shared.send(m_shared.members.home_of(item.info.target.str()), std::move(message));
@@ -134,7 +144,7 @@
 void router::implementation::receive(const base::node_id& from, proto::RoutingMessage&& message)
 {
     const base::epoch number{message.epoch()};
-    if (number <= m_shared.members.number()) {
+    if (number.value() <= m_shared.members.number().value()) {
         route(from, number, std::move(message));
     }
     else if (m_early.size() < m_shared.settings.early_message_limit) {
@@ -222,6 +232,9 @@
     case kind::kHomeTargetsAck:
         return m_home.on_targets_ack(from, message.home_targets_ack());
     case kind::kHomeStatus:
+        if (message.home_status().leaving()) {
+            m_sync.on_leaving(from);
+        }
         return m_owner.on_status(from, message.home_status());
     case kind::kEpochTargets:
         return m_sync.on_targets(from, message.epoch_targets());
@@ -239,7 +252,7 @@
 void router::implementation::check_drained()
 {
     if (m_shared.is_shutting_down && !m_is_drained && !m_shared.members.is_joined() &&
-        m_entry.size() == 0 && m_owner.is_idle() && m_home.is_idle()) {
+        m_sync.is_handed_over() && m_entry.size() == 0 && m_owner.is_idle() && m_home.is_idle()) {
         m_is_drained = true;
         m_shared.emit(drained{});
     }
--- a/src/routing/target_home.cpp
+++ b/src/routing/target_home.cpp
@@ -82,7 +82,7 @@
 std::optional<error_code> target_home::refusal_of(const proto::Dispatch& message,
                                                   base::epoch number) const
 {
-    if (number < m_shared.members.number()) {
+    if (number.value() < m_shared.members.number().value()) {
         return error_code::stale_epoch;
     }
     if (!m_shared.may_act()) {
--- a/src/routing/target_home.h
+++ b/src/routing/target_home.h
@@ -52,6 +52,8 @@
     void fill_targets(const base::node_id& home, proto::EpochTargets& message) const;
     /// All reports have arrived: new work may start.
     void on_reports_complete();
+    /// Tells all members at once that this host takes no new work and will leave.
+    void announce_leaving();
     void on_tick();
 
     [[nodiscard]] std::size_t waiting_count() const { return m_waiting; }
@@ -108,7 +110,7 @@
     base::time_point m_fencing_since = base::time_point::max();
     std::uint64_t m_registered_version = 0; ///< Of the target list that every member has.
     std::uint64_t m_targets_version = 0;
-    std::map<base::node_id, std::uint64_t> m_targets_acked;
+    std::map<base::node_id, std::uint64_t, node_order> m_targets_acked;
     std::uint64_t m_status_number = 0;
     base::time_point m_next_status;
     base::time_point m_next_targets;
--- a/src/routing/target_registry.h
+++ b/src/routing/target_registry.h
@@ -62,7 +62,7 @@
         std::vector<target_info> targets;
     };
 
-    std::map<base::node_id, known_list> m_lists;
+    std::map<base::node_id, known_list, node_order> m_lists;
 };
 
 } // namespace lovagebeam::routing
--- a/src/routing/team_owner.cpp
+++ b/src/routing/team_owner.cpp
@@ -46,7 +46,7 @@
 bool team_owner::refuse_early(const base::node_id& from, base::epoch number,
                               const proto::Submit& message)
 {
-    if (number < m_shared.members.number()) {
+    if (number.value() < m_shared.members.number().value()) {
         reply_ended(from, message.id(), outcome::not_run, error_code::stale_epoch,
                     m_shared.members.remembers(number));
         return true;
--- a/src/routing/team_owner.h
+++ b/src/routing/team_owner.h
@@ -100,7 +100,7 @@
     std::unordered_map<std::string, serial> m_by_attempt;
     std::unordered_map<std::string, submission> m_submissions;
     std::unordered_map<std::string, replay_window> m_windows; ///< By entry host and run.
-    std::map<base::node_id, home_view> m_homes;
+    std::map<base::node_id, home_view, node_order> m_homes;
     timer_queue<serial> m_timers;
     timer_queue<std::string> m_submission_timers;
     std::deque<serial> m_stored; ///< With bodies, oldest first.
--- a/tests/routing/sim_cluster.cpp
+++ b/tests/routing/sim_cluster.cpp
@@ -143,10 +143,14 @@
 
 void sim_cluster::crash(std::uint32_t index)
 {
-    sim_host& item = m_hosts[index];
-    if (!item.is_alive) {
-        return;
+    if (m_hosts[index].is_alive) {
+        end_process(index, std::chrono::milliseconds{m_random.between(20, 1500)});
     }
+}
+
+void sim_cluster::end_process(std::uint32_t index, duration away)
+{
+    sim_host& item = m_hosts[index];
     item.is_alive = false;
     for (auto& [caller, record] : m_truth.requests) {
         if (record.host == item.id.str() && record.answers == 0) {
@@ -156,8 +160,10 @@
     for (const auto& [attempt, target] : item.calls) {
         m_targets[target]->close(item.id.str(), attempt);
     }
-    const duration away = std::chrono::milliseconds{m_random.between(20, 1500)};
-    m_clock.after(away, [this, index] { start(index); });
+    m_clock.after(away, [this, index] {
+        m_hosts[index].is_leaving = false;
+        start(index);
+    });
 }
 
 void sim_cluster::pause(std::uint32_t index, duration time)
@@ -187,12 +193,6 @@
     m_clock.after(20ms, [this] { commit_epoch(); });
 }
 
-void sim_cluster::rejoin(std::uint32_t index)
-{
-    m_hosts[index].is_leaving = false;
-    commit_epoch();
-}
-
 void sim_cluster::heal()
 {
     m_cuts.clear();
@@ -208,6 +208,24 @@
     }
 }
 
+std::string sim_cluster::describe() const
+{
+    std::string text;
+    for (const auto& item : m_hosts) {
+        const router_stats stats = item.router->stats();
+        text += "\n" + item.id.str() + " epoch=" + std::to_string(stats.number.value()) +
+                " ready=" + std::to_string(stats.is_ready) +
+                " lease=" + std::to_string(stats.is_lease_valid) +
+                " owner_waiting=" + std::to_string(stats.owner_waiting) +
+                " owner_running=" + std::to_string(stats.owner_running) +
+                " targets=" + std::to_string(stats.home_targets) +
+                " home_waiting=" + std::to_string(stats.home_waiting) +
+                " home_running=" + std::to_string(stats.home_running) +
+                " ejected=" + std::to_string(stats.home_ejected);
+    }
+    return text;
+}
+
 bool sim_cluster::is_cut(std::uint32_t first, std::uint32_t second) const
 {
     const auto found = m_cuts.find({std::min(first, second), std::max(first, second)});
--- a/tests/routing/sim_cluster.h
+++ b/tests/routing/sim_cluster.h
@@ -37,7 +37,8 @@
     void isolate_from_leader(std::uint32_t host, duration time);
     void cut_target(std::uint32_t host, std::uint32_t target, duration time);
     void shut_down(std::uint32_t host);
-    void rejoin(std::uint32_t host); ///< Has a new epoch committed without any other change.
+    void renew_epoch() { commit_epoch(); }               ///< Without any other change.
+    void end_process(std::uint32_t host, duration away); ///< Comes back after `away` and joins.
 
     [[nodiscard]] bool is_drained(std::uint32_t host) const { return m_hosts[host].is_drained; }
     [[nodiscard]] routing::router_stats stats(std::uint32_t host) const
@@ -46,6 +47,7 @@
     }
     [[nodiscard]] bool is_alive(std::uint32_t host) const { return m_hosts[host].is_alive; }
     void heal();
+    [[nodiscard]] std::string describe() const; ///< Counters of the hosts, for failure messages.
 
     /// Checks the answers; call after everything had time to end.
     void check_answers() const;
--- a/tests/routing/sim_target.cpp
+++ b/tests/routing/sim_target.cpp
@@ -31,7 +31,7 @@
     if (mode == target_mode::silent) {
         return;
     }
-    const bool is_stale = !m_fenced || attempt.number < *m_fenced;
+    const bool is_stale = !m_fenced || attempt.number.value() < m_fenced->value();
     if (is_stale || mode == target_mode::refuses) {
         close(host, attempt.attempt.str());
         done({attempt.attempt, attempt_result::refused, {}, 0, is_stale});
@@ -131,7 +131,7 @@
     if (!is_reachable()) {
         return answer;
     }
-    if (m_fenced && number < *m_fenced) {
+    if (m_fenced && number.value() < m_fenced->value()) {
         answer.result = result::stale;
         return answer;
     }
