--- a/src/routing/context.h
+++ b/src/routing/context.h
@@ -17,9 +17,12 @@
 
 using namespace std::chrono_literals;
 
-/// Batch work leaves one slot in 16 of a home free. Without it an urgent lookup in a full fleet
-/// waits for the next end of work: 35 ms at the 99th percentile instead of a few.
-inline constexpr std::uint32_t headroom_divisor = 16;
+/// Slots of a home that batch work leaves free: one in 16, rounded, and none below 8 slots. Without
+/// them an urgent lookup in a full fleet waits for the next end of work.
+constexpr std::uint32_t headroom_of(std::uint32_t slots)
+{
+    return (slots + 8) / 16;
+}
 
 /// A message that this host sends to itself. It is handled in the same step.
 struct local_message {
--- a/src/routing/owner_dispatch.cpp
+++ b/src/routing/owner_dispatch.cpp
@@ -100,7 +100,7 @@
 const base::node_id* team_owner::choose_home(const owner_team& team, std::size_t priority)
 {
     const auto headroom = [&](const home_view& view) {
-        return priority + 1 == work_class_count ? view.slots / headroom_divisor : 0;
+        return priority + 1 == work_class_count ? headroom_of(view.slots) : 0;
     };
     std::vector<const base::node_id*> free_homes;
     std::vector<const base::node_id*> waiting_homes;
--- a/src/routing/target_home.cpp
+++ b/src/routing/target_home.cpp
@@ -203,7 +203,7 @@
         if (chosen.target == nullptr) {
             return;
         }
-        const bool is_batch_allowed = chosen.free_slots > chosen.slots / headroom_divisor;
+        const bool is_batch_allowed = chosen.free_slots > headroom_of(chosen.slots);
         const auto id = m_queue.pop(is_batch_allowed ? work_class_count : work_class_count - 1,
                                     [&](const std::string& item) {
                                         const auto found = m_attempts.find(item);
