--- a/tests/routing/sim_cluster.h
+++ b/tests/routing/sim_cluster.h
@@ -93,7 +93,7 @@
     void handle(std::uint32_t index, routing::send_peer&& item);
     void handle(std::uint32_t index, routing::start_attempt&& item);
     void send_run(std::uint32_t index, std::uint64_t run,
-                  std::shared_ptr<routing::start_attempt> item);
+                  const std::shared_ptr<routing::start_attempt>& item);
     void handle(std::uint32_t index, routing::fence_target&& item);
     void handle(std::uint32_t index, routing::query_attempt&& item);
     void handle(std::uint32_t index, routing::cancel_attempt&& item);
--- a/tests/routing/sim_effects.cpp
+++ b/tests/routing/sim_effects.cpp
@@ -60,7 +60,7 @@
 }
 
 void sim_cluster::send_run(std::uint32_t index, std::uint64_t run,
-                           std::shared_ptr<start_attempt> item)
+                           const std::shared_ptr<start_attempt>& item)
 {
     sim_host& from = m_hosts[index];
     if (!from.is_alive || from.run != run) {
