Carry work keys of intents, feed lost peers, refuse keys that aren't text

Cause: a new owner adopted an open intent without its work key, so the key was free while its work might run; resolved intents weren't handed to the router; keys with bytes that aren't UTF-8 can't be carried by protobuf text and would have been dropped between hosts. Change: commit_intent and the state's record hold the work key; all kept intents are fed at a new epoch; idempotency and work keys are visible ASCII; the stand-in runner refuses work until it is fenced, and the stand-in worker remembers stops that overtake a start. Ruled out: escaping such keys, which callers would see in other forms.

--- a/include/lovagebeam/standin/worker.h
+++ b/include/lovagebeam/standin/worker.h
@@ -53,6 +53,7 @@
     void add_task(const platform::start_task_request& message);
     void cancel(std::string_view id, const callers::reply& reply);
     void report(const callers::reply& reply);
+    void remember_stopped(const base::task_id& id);
     void end(task& ended, platform::task_state state);
     void check_lease(const base::task_id& id);
     [[nodiscard]] bool has_room_for(const platform::task_spec& spec) const;
--- a/include/lovagebeam/state/cell_state.h
+++ b/include/lovagebeam/state/cell_state.h
@@ -112,6 +112,8 @@
     [[nodiscard]] const intent* find_intent(const base::team_id& team,
                                             const base::idempotency_key& key) const;
     [[nodiscard]] std::vector<intent> open_intents() const;
+    /// Also the resolved ones, until they expire.
+    void for_each_intent(const std::function<void(const intent&)>& visit) const;
     [[nodiscard]] const result_identity* find_result(const base::team_id& team,
                                                      const base::idempotency_key& key) const;
 
--- a/include/lovagebeam/state/model.h
+++ b/include/lovagebeam/state/model.h
@@ -180,6 +180,8 @@
     work_outcome outcome = work_outcome::none; // none while open
     base::wall_time committed;
     std::optional<base::wall_time> expiry; // once resolved
+    /// Locked until the outcome is known; empty for none.
+    base::work_key work;
 
     friend bool operator==(const intent&, const intent&) = default;
 };
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -119,7 +119,7 @@
     const auto key = slash == std::string_view::npos
                          ? std::nullopt
                          : targets::percent_decode(rest.substr(slash + 1));
-    if (!team || !key || *team != identity->team.str()) {
+    if (!team || !key || !is_key_text(*key) || *team != identity->team.str()) {
         reply.send(error_answer(
             make_error(error_code::not_found, "expected /v1/work/{own team}/{idempotency key}"),
             "unknown"));
--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -147,7 +147,8 @@
         {[this](auto now, const auto& from, auto& message) { on_cluster(now, from, message); },
          [this](auto now, const auto& from, auto bytes) {
              m_path.on_peer(now, from, std::move(bytes));
-         }});
+         },
+         [this](auto now, const auto& peer) { m_path.on_peer_lost(now, peer); }});
     if (!status.ok()) {
         return status;
     }
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -88,6 +88,9 @@
         .with("peer", peer.str())
         .with("state", peers::name_of(state))
         .write();
+    if (state == peers::connection_state::disconnected) {
+        m_loop.post_completion([this, peer](base::time_point now) { m_receivers.lost(now, peer); });
+    }
 }
 
 } // namespace lovagebeam::daemon
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -24,6 +24,8 @@
         /// Called on the decisions thread.
         std::function<void(base::time_point, const base::node_id&, proto::ClusterMessage&)> cluster;
         std::function<void(base::time_point, const base::node_id&, std::string)> routing;
+        /// The connection to a host is lost, a fresh one failed as well.
+        std::function<void(base::time_point, const base::node_id&)> lost;
     };
 
     peer_links(const settings::daemon_settings& settings, std::string secret, std::uint64_t seed,
--- a/src/daemon/request_path.cpp
+++ b/src/daemon/request_path.cpp
@@ -172,6 +172,11 @@
     step(now, routing::peer_message{from, std::move(bytes)});
 }
 
+void request_path::on_peer_lost(base::time_point now, const base::node_id& peer)
+{
+    step(now, routing::peer_lost{peer});
+}
+
 void request_path::on_epoch(base::time_point now, bool is_self_joined)
 {
     routing::epoch_installed event;
@@ -180,10 +185,10 @@
         event.members.push_back(member.node);
     }
     event.is_self_joined = is_self_joined;
-    for (const auto& open : m_log.state().open_intents()) {
+    m_log.state().for_each_intent([&event](const state::intent& known) {
         event.intents.push_back(
-            {open.epoch, open.team, open.key, base::work_key{}, open.attempt, open.target});
-    }
+            {known.epoch, known.team, known.key, known.work, known.attempt, known.target});
+    });
     step(now, std::move(event));
 }
 
@@ -357,6 +362,7 @@
     body.set_attempt(effect.record.attempt.str());
     body.set_target(effect.record.target.str());
     body.set_epoch(effect.record.number.value());
+    body.set_work_key(effect.record.work_key.str());
     m_log.propose(
         now, std::move(command), now + intent_commit_time,
         [this, attempt = effect.record.attempt](const absl::StatusOr<state::apply_result>& result) {
--- a/src/daemon/request_path.h
+++ b/src/daemon/request_path.h
@@ -45,6 +45,7 @@
 
     void on_announcement(base::time_point now, const targets::target_announcement& message);
     void on_peer(base::time_point now, const base::node_id& from, std::string bytes);
+    void on_peer_lost(base::time_point now, const base::node_id& peer);
     void on_epoch(base::time_point now, bool is_self_joined);
     void on_configuration(base::time_point now);
     void on_confirmed(base::time_point now, base::time_point asked_at);
--- a/src/daemon/task_control.cpp
+++ b/src/daemon/task_control.cpp
@@ -20,7 +20,8 @@
 using telemetry::severity;
 
 constexpr std::chrono::seconds commit_time{10};
-constexpr std::chrono::seconds worker_call_time{2};
+/// Also the time after which a start must not arrive any more (scheduler_settings::start_transit).
+constexpr std::chrono::seconds worker_call_time{1};
 /// A worker announces itself every 500 ms; four lost announcements make it lost.
 constexpr std::chrono::seconds worker_patience{2};
 
@@ -100,10 +101,14 @@
         placement::recovered_job recovered;
         recovered.spec = to_placement(job.spec);
         recovered.cancelled = job.cancel_requested;
+        recovered.was_placed = false;
         std::uint32_t index = 0;
         cell.for_each_task(job.spec.id, [&](const state::task& task) {
+            recovered.was_placed = recovered.was_placed || task.attempts > 0;
             if (task.state == state::task_state::ended) {
-                recovered.completed.push_back(index);
+                (task.outcome == state::task_outcome::unknown ? recovered.unknown
+                                                              : recovered.completed)
+                    .push_back(index);
             }
             else if (task.state != state::task_state::pending) {
                 result.placements.push_back({worker_task_id({job.spec.id, index, task.fence}),
--- a/src/daemon/work_request.cpp
+++ b/src/daemon/work_request.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagebeam/base/errors.h"
 
+#include <algorithm>
 #include <charconv>
 #include <optional>
 
@@ -39,14 +40,20 @@
 absl::StatusOr<std::string> read_key(const callers::http_request& request, std::string_view name)
 {
     const std::string value{request.header(name).value_or("")};
-    if (value.size() > longest_key) {
-        return header_error(name, "at most 200 characters long");
+    if (!is_key_text(value)) {
+        return header_error(name, "at most 200 visible ASCII characters");
     }
     return value;
 }
 
 } // namespace
 
+bool is_key_text(std::string_view text)
+{
+    return text.size() <= longest_key &&
+           std::ranges::all_of(text, [](char c) { return c > ' ' && c < 0x7f; });
+}
+
 std::string_view bearer_token(const callers::http_request& request)
 {
     constexpr std::string_view scheme = "Bearer ";
--- a/src/standin/runner.cpp
+++ b/src/standin/runner.cpp
@@ -103,8 +103,9 @@
         return;
     }
     const std::lock_guard lock{m_mutex};
-    if (message->epoch < m_epoch) {
-        reply.send(error_response(409, base::error_code::stale_epoch, "a newer epoch is known"));
+    // A runner that hasn't been fenced since it started can't tell an old epoch from a new one.
+    if (m_epoch == base::epoch{} || message->epoch < m_epoch) {
+        reply.send(error_response(409, base::error_code::stale_epoch, "another epoch is known"));
         return;
     }
     if (m_mode == runner_mode::refusing) {
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -105,12 +105,24 @@
     const std::lock_guard lock{m_mutex};
     const auto found =
         m_tasks.find(base::task_id{targets::percent_decode(id).value_or(std::string{id})});
-    if (found != m_tasks.end()) {
+    if (found == m_tasks.end()) {
+        // A start that is still under way must not begin the task after this answer.
+        remember_stopped(base::task_id{targets::percent_decode(id).value_or(std::string{id})});
+    }
+    else {
         end(found->second, task_state::stopped);
     }
     reply.send(json_response("{}"));
 }
 
+void worker::remember_stopped(const base::task_id& id)
+{
+    task stopped;
+    stopped.report = {id, task_state::stopped, ""};
+    stopped.ended_at = std::chrono::steady_clock::now();
+    m_tasks.emplace(id, std::move(stopped));
+}
+
 void worker::end(task& ended, task_state state)
 {
     if (platform::is_ended(ended.report.state)) {
--- a/src/state/apply_requests.cpp
+++ b/src/state/apply_requests.cpp
@@ -71,7 +71,8 @@
 
 absl::Status apply(cell_data& data, const pb::CommitIntent& message, apply_context& context)
 {
-    if (auto status = first_error(check_request(message), check_id("target", message.target()));
+    if (auto status = first_error(check_request(message), check_id("target", message.target()),
+                                  check_optional_id("work_key", message.work_key()));
         !status.ok()) {
         return status;
     }
@@ -96,7 +97,8 @@
         return on_record(*result, context);
     }
     data.put_intent({key.first, key.second, attempt, base::target_id{message.target()}, data.epoch,
-                     work_outcome::none, context.now, std::nullopt});
+                     work_outcome::none, context.now, std::nullopt,
+                     base::work_key{message.work_key()}});
     context.result.attempt = attempt;
     context.result.changed = true;
     return absl::OkStatus();
--- a/src/state/convert_work.cpp
+++ b/src/state/convert_work.cpp
@@ -194,6 +194,7 @@
     message.set_outcome(enum_to<pb::WorkOutcome>(value.outcome, 0));
     message.set_committed_ms(to_ms(value.committed));
     message.set_expires_ms(optional_ms(value.expiry));
+    message.set_work_key(value.work.str());
     return message;
 }
 
@@ -207,7 +208,8 @@
         base::team_id{message.team()},       base::idempotency_key{message.idempotency_key()},
         base::attempt_id{message.attempt()}, base::target_id{message.target()},
         base::epoch{message.epoch()},        *outcome,
-        from_ms(message.committed_ms()),     optional_time(message.expires_ms())};
+        from_ms(message.committed_ms()),     optional_time(message.expires_ms()),
+        base::work_key{message.work_key()}};
 }
 
 pb::ResultRecord to_proto(const result_identity& value)
--- a/src/state/queries.cpp
+++ b/src/state/queries.cpp
@@ -182,6 +182,11 @@
     return result;
 }
 
+void cell_state::for_each_intent(const std::function<void(const intent&)>& visit) const
+{
+    visit_all(m_data->intents, visit);
+}
+
 const result_identity* cell_state::find_result(const base::team_id& team,
                                                const base::idempotency_key& key) const
 {
--- a/tests/daemon/work_request_test.cpp
+++ b/tests/daemon/work_request_test.cpp
@@ -64,7 +64,9 @@
                                                       {"Lovagebeam-Deadline-Ms", "0"},
                                                       {"Lovagebeam-Deadline-Ms", "5s"},
                                                       {"Lovagebeam-Repeatable", "no"},
-                                                      {"Idempotency-Key", std::string(201, 'k')}};
+                                                      {"Idempotency-Key", std::string(201, 'k')},
+                                                      {"Idempotency-Key", "caf\xe9"},
+                                                      {"Lovagebeam-Work-Key", "two words"}};
         for (const auto& header : wrong) {
             auto request = with({header});
             const auto work = daemon::decode_work(request);
