--- a/src/daemon/task_control.cpp
+++ b/src/daemon/task_control.cpp
@@ -5,8 +5,6 @@
 
 #include "job_convert.h"
 
-#include <boost/json.hpp>
-
 #include <algorithm>
 #include <limits>
 #include <utility>
@@ -22,8 +20,6 @@
 constexpr std::chrono::seconds commit_time{10};
 /// Also the time after which a start must not arrive any more (scheduler_settings::start_transit).
 constexpr std::chrono::seconds worker_call_time{1};
-/// A worker announces itself every 500 ms; four lost announcements make it lost.
-constexpr std::chrono::seconds worker_patience{2};
 
 placement::scheduler_settings scheduler_settings()
 {
@@ -33,12 +29,6 @@
     return result;
 }
 
-placement::resources capacity_of(const platform::worker_announcement& message)
-{
-    return {message.millicores, message.memory,
-            placement::accelerators{static_cast<std::int64_t>(message.accelerators)}};
-}
-
 } // namespace
 
 task_control::task_control(const parts& connected)
@@ -338,216 +328,4 @@
     }
 }
 
-bool task_control::is_repeatable(const placement_ref& ref) const
-{
-    const state::job* const job = m_log.state().find_job(ref.job);
-    return job != nullptr && job->spec.repeatable;
-}
-
-void task_control::report_end(base::time_point now, const base::task_id& task,
-                              platform::task_state ended, const std::string& output)
-{
-    const auto ref = parse_worker_task_id(task);
-    if (!ref) {
-        return;
-    }
-    switch (ended) {
-    case platform::task_state::succeeded:
-        commit_end(now, task, proto::state::TASK_OUTCOME_SUCCEEDED, output,
-                   placement::task_outcome::completed);
-        return;
-    case platform::task_state::checkpointed:
-        commit_end(now, task, proto::state::TASK_OUTCOME_REQUEUED, "",
-                   placement::task_outcome::checkpointed);
-        return;
-    case platform::task_state::stopped:
-    case platform::task_state::lease_expired:
-        commit_end(now, task, proto::state::TASK_OUTCOME_REQUEUED, "",
-                   placement::task_outcome::stopped);
-        return;
-    default:
-        // The scheduler tries work that may be repeated on other workers before it gives up.
-        commit_end(now, task,
-                   is_repeatable(*ref) ? proto::state::TASK_OUTCOME_REQUEUED
-                                       : proto::state::TASK_OUTCOME_FAILED,
-                   output, placement::task_outcome::failed);
-        return;
-    }
-}
-
-void task_control::commit_end(base::time_point now, const base::task_id& task,
-                              proto::state::TaskOutcome outcome, const std::string& output,
-                              placement::task_outcome report)
-{
-    const auto ref = parse_worker_task_id(task);
-    const state::task* const known = ref ? m_log.state().find_task(state_task_id(*ref)) : nullptr;
-    const bool is_open =
-        known != nullptr && known->fence == ref->fence &&
-        (known->state == state::task_state::placed || known->state == state::task_state::running);
-    if (!is_open) {
-        // The state has this end already; the scheduler may not, after a change of leader.
-        step(now, placement::task_ended{task, report, std::nullopt, std::nullopt});
-        return;
-    }
-    if (!m_ending.insert(task).second) {
-        return;
-    }
-    state::command command;
-    auto& body = *command.mutable_task_ended();
-    body.set_task(state_task_id(*ref).str());
-    body.set_fence(ref->fence);
-    body.set_outcome(outcome);
-    body.set_output(output);
-    // The scheduler frees the capacity only once the state has, or the state would refuse the next
-    // placement there.
-    m_log.propose(
-        now, std::move(command), now + commit_time,
-        [this, task, report](const absl::StatusOr<state::apply_result>& result) {
-            m_loop.post_completion(
-                [this, task, report, is_done = result.ok()](base::time_point when) {
-                    m_ending.erase(task);
-                    if (is_done) {
-                        step(when, placement::task_ended{task, report, std::nullopt, std::nullopt});
-                    }
-                });
-        });
-}
-
-absl::StatusOr<std::string> task_control::on_announcement(base::time_point now,
-                                                          const std::string& text)
-{
-    const auto message = platform::decode_worker_announcement(text);
-    if (!message.ok()) {
-        return message.status();
-    }
-    if (!m_scheduler) {
-        return make_error(error_code::not_leader, "the scheduler hasn't started");
-    }
-    remember_worker(now, *message);
-    platform::announcement_answer answer;
-    for (const auto& task : message->tasks) {
-        if (platform::is_ended(task.state)) {
-            report_end(now, task.task_id, task.state, task.output);
-        }
-        else {
-            answer.leases.push_back(
-                {task.task_id, std::chrono::duration_cast<std::chrono::milliseconds>(
-                                   placement::scheduler_settings{}.task_lease)});
-        }
-    }
-    feed_worker(now, *message);
-    return platform::encode(answer);
-}
-
-void task_control::remember_worker(base::time_point now,
-                                   const platform::worker_announcement& message)
-{
-    m_workers[message.worker_id] = {message.where, now, false};
-    state::worker record{message.worker_id,
-                         message.where.address,
-                         message.where.port,
-                         message.failure_domain,
-                         message.rack,
-                         message.millicores,
-                         message.memory,
-                         static_cast<std::int64_t>(message.accelerators),
-                         false};
-    const state::worker* const known = m_log.state().find_worker(message.worker_id);
-    if ((known != nullptr && *known == record) ||
-        !m_worker_proposals.insert(message.worker_id).second) {
-        return;
-    }
-    state::command command;
-    *command.mutable_put_worker()->mutable_worker() = state::to_proto(record);
-    m_log.propose(now, std::move(command), now + commit_time,
-                  [this, id = message.worker_id](const auto&) { m_worker_proposals.erase(id); });
-}
-
-void task_control::feed_worker(base::time_point now, const platform::worker_announcement& message)
-{
-    // The state refuses placements on a worker that it doesn't know yet.
-    if (m_log.state().find_worker(message.worker_id) == nullptr) {
-        return;
-    }
-    placement::worker_seen seen;
-    seen.worker = message.worker_id;
-    seen.domain = message.failure_domain;
-    seen.rack = placement::rack_id{message.rack};
-    seen.capacity = capacity_of(message);
-    for (const auto& task : message.tasks) {
-        if (!platform::is_ended(task.state)) {
-            seen.running.push_back({task.task_id, std::nullopt, std::nullopt});
-        }
-    }
-    step(now, seen);
-}
-
-void task_control::look_for_lost_workers(base::time_point now)
-{
-    for (auto& [id, known] : m_workers) {
-        if (!known.is_lost && now - known.seen > worker_patience) {
-            known.is_lost = true;
-            log_event{severity::warning, "worker_lost"}.with("worker", id.str()).write();
-            step(now, placement::worker_lost{id});
-        }
-    }
-}
-
-absl::StatusOr<std::string> task_control::explain_job(const std::string& id) const
-{
-    const auto found = m_scheduler ? m_scheduler->explain(base::job_id{id}) : std::nullopt;
-    if (!found) {
-        return make_error(error_code::not_found, "the scheduler doesn't know job " + id);
-    }
-    boost::json::object out;
-    out["job_id"] = id;
-    out["state"] = std::string{placement::name_of(found->state)};
-    out["reason"] = std::string{placement::name_of(found->why)};
-    out["detail"] = found->detail;
-    out["tasks_waiting"] = found->waiting;
-    out["tasks_running"] = found->running;
-    out["tasks_completed"] = found->completed;
-    const auto now = std::chrono::steady_clock::now();
-    boost::json::array history;
-    for (const auto& entry : found->history) {
-        const auto age = std::chrono::duration_cast<std::chrono::milliseconds>(now - entry.when);
-        history.push_back(
-            boost::json::object{{"ms_ago", age.count()},
-                                {"reason", std::string{placement::name_of(entry.why)}},
-                                {"worker", entry.worker.str()}});
-    }
-    out["history"] = std::move(history);
-    return boost::json::serialize(out);
-}
-
-std::string task_control::list_team_use() const
-{
-    boost::json::array teams;
-    if (m_scheduler) {
-        for (const auto& team : m_scheduler->teams()) {
-            teams.push_back(boost::json::object{{"team", team.team.str()},
-                                                {"share", team.settings.share},
-                                                {"booked_millicores", team.booked.cpu.value()},
-                                                {"booked_memory_bytes", team.booked.memory.value()},
-                                                {"dominant_share", team.dominant_share},
-                                                {"tasks_waiting", team.waiting}});
-        }
-    }
-    return boost::json::serialize(teams);
-}
-
-void task_control::publish_metrics()
-{
-    if (!m_scheduler) {
-        return;
-    }
-    const auto fleet = m_scheduler->fleet();
-    m_metrics.gauge_named("lovagebeam_workers").set(fleet.workers);
-    m_metrics.gauge_named("lovagebeam_tasks{state=\"running\"}").set(fleet.running);
-    m_metrics.gauge_named("lovagebeam_tasks{state=\"waiting\"}").set(fleet.waiting);
-    const auto capacity = static_cast<double>(fleet.capacity.cpu.value());
-    m_metrics.gauge_named("lovagebeam_booked_ratio")
-        .set(capacity == 0 ? 0 : static_cast<double>(fleet.booked.cpu.value()) / capacity);
-}
-
 } // namespace lovagebeam::daemon
--- a/src/placement/lifecycle.cpp
+++ b/src/placement/lifecycle.cpp
@@ -12,14 +12,6 @@
 constexpr base::duration crash_window = std::chrono::seconds{60};
 constexpr base::duration first_backoff = std::chrono::milliseconds{500};
 constexpr std::uint32_t longest_doubling = 6;
-/// Leases are checked in slices, so that one tick doesn't go over all tasks. Each lease is looked
-/// at once in this time; the delay only keeps capacity booked longer.
-constexpr base::duration lease_round = std::chrono::seconds{1};
-
-double seconds(base::duration value)
-{
-    return std::chrono::duration<double>(value).count();
-}
 
 } // namespace
 
@@ -444,64 +436,4 @@
     }
 }
 
-void lifecycle::on_tick(base::duration elapsed)
-{
-    check_leases(elapsed);
-    release_delayed();
-    release_paced(elapsed);
-}
-
-bool lifecycle::is_due(const task_record& task) const
-{
-    if (task.lease_end == never || task.id.empty()) {
-        return false;
-    }
-    const auto drift = std::chrono::duration_cast<base::duration>(
-        (m_state.settings.task_lease + m_state.settings.start_transit) *
-        m_state.settings.clock_drift);
-    return m_state.now > task.lease_end + drift;
-}
-
-void lifecycle::check_leases(base::duration elapsed)
-{
-    const double part = std::min(1.0, seconds(elapsed) / seconds(lease_round));
-    const auto count = static_cast<slot>(part * m_state.tasks.size()) + 1;
-    for (slot i = 0; i < std::min(count, m_state.tasks.size()); ++i) {
-        m_next_lease = (m_next_lease + 1) % m_state.tasks.size();
-        if (is_due(m_state.tasks[m_next_lease])) {
-            end(m_next_lease, end_kind::lost);
-        }
-    }
-}
-
-void lifecycle::release_delayed()
-{
-    while (!m_delayed.empty() && m_delayed.top().when <= m_state.now) {
-        const delayed next = m_delayed.top();
-        m_delayed.pop();
-        const slot at = m_state.find_job(next.job);
-        if (at != no_slot && !m_state.jobs[at].cancelled &&
-            m_state.jobs[at].state != job_state::failed) {
-            make_waiting(at, next.index);
-        }
-    }
-}
-
-void lifecycle::release_paced(base::duration elapsed)
-{
-    const double rate = m_state.settings.paced_replacements;
-    m_paced_allowance = std::min(rate, m_paced_allowance + rate * seconds(elapsed));
-    while (!m_paced.empty() && m_paced_allowance >= 1.0) {
-        const auto [id, index] = m_paced.front();
-        m_paced.pop_front();
-        const slot at = m_state.find_job(id);
-        if (at == no_slot || m_state.jobs[at].cancelled ||
-            m_state.jobs[at].state == job_state::failed) {
-            continue;
-        }
-        m_paced_allowance -= 1.0;
-        make_waiting(at, index);
-    }
-}
-
 } // namespace lovagebeam::placement::internal
