--- a/src/daemon/host.cpp
+++ b/src/daemon/host.cpp
@@ -395,6 +395,9 @@
     set("lovagebeam_epoch", static_cast<double>(stats.number.value()));
     set("lovagebeam_config_version", static_cast<double>(m_log.state().version().value()));
     set("lovagebeam_applied_index", static_cast<double>(m_log.applied_index()));
+    const auto wire = m_links.counters();
+    set("lovagebeam_peer_bytes{direction=\"in\"}", static_cast<double>(wire.wire_bytes_in));
+    set("lovagebeam_peer_bytes{direction=\"out\"}", static_cast<double>(wire.wire_bytes_out));
     set("lovagebeam_callers_waiting", static_cast<double>(stats.callers_waiting));
     set("lovagebeam_owner_requests{state=\"waiting\"}", static_cast<double>(stats.owner_waiting));
     set("lovagebeam_owner_requests{state=\"running\"}", static_cast<double>(stats.owner_running));
--- a/src/daemon/job_convert.cpp
+++ b/src/daemon/job_convert.cpp
@@ -166,9 +166,14 @@
     return result;
 }
 
-placement::job_spec to_placement(const state::job_spec& spec)
+placement::job_spec to_placement(const state::job& job, base::time_point now,
+                                 base::wall_time wall_now)
 {
+    const state::job_spec& spec = job.spec;
     placement::job_spec result;
+    if (spec.deadline.count() > 0) {
+        result.deadline = now + (job.accepted + spec.deadline - wall_now);
+    }
     result.id = spec.id;
     result.team = spec.team;
     result.command = spec.command;
--- a/src/daemon/job_convert.h
+++ b/src/daemon/job_convert.h
@@ -13,7 +13,11 @@
 namespace lovagebeam::daemon {
 
 placement::team_settings to_team_settings(const state::effective_settings& settings);
-placement::job_spec to_placement(const state::job_spec& spec);
+
+/// Returns the job for the scheduler. The deadline, which the state counts on the wall clock from
+/// the acceptance, becomes a time on this host's monotonic clock.
+placement::job_spec to_placement(const state::job& job, base::time_point now,
+                                 base::wall_time wall_now);
 
 /// Decodes the body of `POST /v1/jobs` into a spec without id and team. Reports all problems in
 /// one `invalid_request`.
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -60,6 +60,11 @@
     }
 }
 
+peers::network_counters peer_links::counters() const
+{
+    return m_network.ok() ? (*m_network)->counters() : peers::network_counters{};
+}
+
 void peer_links::on_message(const base::node_id& from, peers::channel which, std::string bytes)
 {
     if (which == peers::channel::routing) {
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -37,6 +37,8 @@
 
     void send(const base::node_id& to, peers::channel which, std::string bytes) override;
 
+    [[nodiscard]] peers::network_counters counters() const;
+
 private:
     void on_message(const base::node_id& from, peers::channel which, std::string bytes) override;
     void on_state(const base::node_id& peer, peers::connection_state state) override;
--- a/src/daemon/task_control.cpp
+++ b/src/daemon/task_control.cpp
@@ -21,6 +21,12 @@
 /// Also the time after which a start must not arrive any more (scheduler_settings::start_transit).
 constexpr std::chrono::seconds worker_call_time{1};
 
+base::wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
 placement::scheduler_settings scheduler_settings()
 {
     placement::scheduler_settings result;
@@ -64,7 +70,7 @@
     m_decided.clear();
     auto built = placement::scheduler_builder{}
                      .settings(scheduler_settings())
-                     .recovered(recover())
+                     .recovered(recover(now))
                      .build(now);
     if (!built.ok()) {
         log_event{severity::error, "scheduler_not_started"}
@@ -76,7 +82,7 @@
     log_event{severity::info, "scheduler_started"}.with("generation", m_generation).write();
 }
 
-placement::recovered_state task_control::recover() const
+placement::recovered_state task_control::recover(base::time_point now) const
 {
     placement::recovered_state result;
     result.generation = m_generation;
@@ -89,7 +95,7 @@
             return;
         }
         placement::recovered_job recovered;
-        recovered.spec = to_placement(job.spec);
+        recovered.spec = to_placement(job, now, wall_now());
         recovered.cancelled = job.cancel_requested;
         recovered.was_placed = false;
         std::uint32_t index = 0;
@@ -310,7 +316,7 @@
     }
     if (command.has_accept_job()) {
         if (const state::job* const job = m_log.state().find_job(result.job)) {
-            step(now, placement::job_accepted{to_placement(job->spec)});
+            step(now, placement::job_accepted{to_placement(*job, now, wall_now())});
         }
     }
     else if (command.has_cancel_job()) {
--- a/src/daemon/task_control.h
+++ b/src/daemon/task_control.h
@@ -77,7 +77,7 @@
     void look_for_lost_workers(base::time_point now);
     void feed_teams(base::time_point now);
     void publish_metrics();
-    [[nodiscard]] placement::recovered_state recover() const;
+    [[nodiscard]] placement::recovered_state recover(base::time_point now) const;
     [[nodiscard]] bool is_repeatable(const placement_ref& ref) const;
 
     replication& m_log;
--- a/tests/daemon/job_convert_test.cpp
+++ b/tests/daemon/job_convert_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST_SUITE(job_convert_test);
     CPPUNIT_TEST(decode_job_valid_document_gives_the_spec);
     CPPUNIT_TEST(decode_job_several_mistakes_reports_all);
+    CPPUNIT_TEST(to_placement_deadline_counts_from_acceptance);
     CPPUNIT_TEST(check_job_without_workers_refuses_nothing);
     CPPUNIT_TEST(check_job_larger_than_every_host_is_refused);
     CPPUNIT_TEST(check_job_gang_larger_than_fleet_is_refused);
@@ -88,6 +89,19 @@
         }
     }
 
+    // Guards against a new leader that gives a job its whole time again.
+    void to_placement_deadline_counts_from_acceptance()
+    {
+        state::job job;
+        job.accepted = base::wall_time{std::chrono::hours{24}};
+        job.spec.deadline = std::chrono::seconds{60};
+        const base::time_point now{std::chrono::hours{1}};
+        const auto spec = daemon::to_placement(job, now, job.accepted + std::chrono::seconds{20});
+        CPPUNIT_ASSERT(spec.deadline == now + std::chrono::seconds{40});
+        job.spec.deadline = {};
+        CPPUNIT_ASSERT(!daemon::to_placement(job, now, job.accepted).deadline.has_value());
+    }
+
     // At the start of a system no worker has announced itself yet.
     void check_job_without_workers_refuses_nothing()
     {
