--- a/fuzz/operators_fuzz.cpp
+++ b/fuzz/operators_fuzz.cpp
@@ -8,6 +8,7 @@
 using namespace lovagebeam;
 
 // A change that was decoded is encoded and decoded to the same document again.
+// NOLINTNEXTLINE(readability-identifier-naming): the name is fixed by libFuzzer.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string_view text{reinterpret_cast<const char*>(data), size};
--- a/fuzz/settings_fuzz.cpp
+++ b/fuzz/settings_fuzz.cpp
@@ -6,6 +6,7 @@
 #include <string_view>
 
 // A settings document either has problems or gives settings in which the host finds itself.
+// NOLINTNEXTLINE(readability-identifier-naming): the name is fixed by libFuzzer.
 extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size)
 {
     const std::string_view text{reinterpret_cast<const char*>(data), size};
