--- a/cmake/lovagebeam.cmake
+++ b/cmake/lovagebeam.cmake
@@ -37,7 +37,7 @@
     target_link_libraries(${name}_test PRIVATE lovagebeam_${name} lovagebeam_test_main)
     lovagebeam_warnings(${name}_test)
     add_test(NAME ${name} COMMAND ${name}_test)
-    set_tests_properties(${name} PROPERTIES TIMEOUT 300)
+    set_tests_properties(${name} PROPERTIES TIMEOUT 1200)
   endif()
 endfunction()
 
--- a/src/daemon/task_control.cpp
+++ b/src/daemon/task_control.cpp
@@ -1,6 +1,5 @@
 #include "task_control.h"
 
-#include "lovagebeam/base/errors.h"
 #include "lovagebeam/telemetry/log.h"
 
 #include "job_convert.h"
@@ -12,8 +11,6 @@
 namespace lovagebeam::daemon {
 namespace {
 
-using base::error_code;
-using base::make_error;
 using telemetry::log_event;
 using telemetry::severity;
 
