Decode a cancelled task's id once in the stand-in worker

Cause: the same expression stood twice in worker::cancel. Change: one named value; no change of behaviour.

--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -102,12 +102,12 @@
 
 void worker::cancel(std::string_view id, const reply& reply)
 {
+    const base::task_id task_id{targets::percent_decode(id).value_or(std::string{id})};
     const std::lock_guard lock{m_mutex};
-    const auto found =
-        m_tasks.find(base::task_id{targets::percent_decode(id).value_or(std::string{id})});
+    const auto found = m_tasks.find(task_id);
     if (found == m_tasks.end()) {
         // A start that is still under way must not begin the task after this answer.
-        remember_stopped(base::task_id{targets::percent_decode(id).value_or(std::string{id})});
+        remember_stopped(task_id);
     }
     else {
         end(found->second, task_state::stopped);
