--- a/cmake/lovagebeam.cmake
+++ b/cmake/lovagebeam.cmake
@@ -41,7 +41,8 @@
   endif()
 endfunction()
 
-# Every <folder>/<program>/ holds the sources of one program, linked to the whole library.
+# Every <folder>/<program>/ holds the sources of one program. It is linked to the libraries in the
+# variable <program>_LIBS, or to the daemon and the stand-ins where there is none.
 function(lovagebeam_add_programs folder)
   file(GLOB program_dirs CONFIGURE_DEPENDS LIST_DIRECTORIES true ${folder}/*)
   foreach(dir IN LISTS program_dirs)
@@ -50,7 +51,11 @@
       file(GLOB sources CONFIGURE_DEPENDS ${dir}/*.cpp)
       add_executable(${program} ${sources})
       target_include_directories(${program} PRIVATE include ${dir})
-      target_link_libraries(${program} PRIVATE lovagebeam_daemon lovagebeam_standin Boost::program_options)
+      set(libs lovagebeam_daemon lovagebeam_standin)
+      if(DEFINED ${program}_LIBS)
+        set(libs ${${program}_LIBS})
+      endif()
+      target_link_libraries(${program} PRIVATE ${libs} Boost::program_options)
       lovagebeam_warnings(${program})
     endif()
   endforeach()
--- /dev/null
+++ b/include/lovagebeam/controlplane/ports.h
@@ -0,0 +1,108 @@
+#pragma once
+
+#include "lovagebeam/jobs/orders.h"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagebeam::controlplane {
+
+/// Sends orders to workers. Each callback is called once, on any thread, and must not block.
+class worker_port {
+public:
+    worker_port() = default;
+    worker_port(const worker_port&) = delete;
+    worker_port& operator=(const worker_port&) = delete;
+    virtual ~worker_port() = default;
+
+    virtual void start(const jobs::start_order& order,
+                       std::function<void(jobs::start_outcome)> done) = 0;
+    /// `done` gets whether the worker confirmed that the run is being stopped or can't begin.
+    virtual void stop(const jobs::stop_order& order, std::function<void(bool)> done) = 0;
+    virtual void hold(const jobs::hold_order& order,
+                      std::function<void(jobs::hold_outcome, jobs::hold_answer)> done) = 0;
+};
+
+/// Asks the advice service. It handles one call at a time for each calling host.
+class advice_port {
+public:
+    using rows = std::optional<std::vector<jobs::advice_row>>;
+
+    advice_port() = default;
+    advice_port(const advice_port&) = delete;
+    advice_port& operator=(const advice_port&) = delete;
+    virtual ~advice_port() = default;
+
+    /// `done` gets the workers that may run the step with their tickets, or nothing when the
+    /// service didn't answer.
+    virtual void ask(const jobs::step_key& step, const std::vector<base::worker_id>& workers,
+                     std::chrono::milliseconds timeout, std::function<void(rows)> done) = 0;
+};
+
+/// Translates the documents that callers and operators send. Thread-safe: keeps no state.
+class document_codec {
+public:
+    document_codec() = default;
+    document_codec(const document_codec&) = delete;
+    document_codec& operator=(const document_codec&) = delete;
+    virtual ~document_codec() = default;
+
+    /// Reads a submitted job without its id and the fields that follow from its queue. Fails with
+    /// `invalid_request`.
+    [[nodiscard]] virtual absl::StatusOr<jobs::job_spec>
+    decode_job(std::string_view body) const = 0;
+    /// Reads and checks a configuration as a whole. Fails with `invalid_settings`.
+    [[nodiscard]] virtual absl::StatusOr<jobs::catalog>
+    decode_catalog(std::string_view document) const = 0;
+    [[nodiscard]] virtual std::string encode_state(jobs::job_state state) const = 0;
+    [[nodiscard]] virtual std::string encode_pending(std::uint64_t pending) const = 0;
+};
+
+/// What a worker said about itself.
+struct worker_report {
+    jobs::worker_info info;
+    jobs::worker_time clock{};
+    std::uint64_t sequence = 0; ///< grows with each report of one life
+};
+
+/// How the core answers a call of a worker or an operator.
+enum class control_outcome {
+    done,
+    not_leader, ///< `leader_address` may name the process to ask
+    invalid,    ///< the document is refused for good
+    in_doubt,   ///< may have taken effect, or may not be answered here; ask again
+};
+
+struct control_answer {
+    control_outcome outcome = control_outcome::in_doubt;
+    std::string leader_address; ///< IP address; empty when no leader is known
+    std::string body;
+};
+
+using control_done = std::function<void(control_answer)>;
+
+/// What a core process does for workers and operators. Thread-safe; callbacks come on any thread.
+class control_service {
+public:
+    control_service() = default;
+    control_service(const control_service&) = delete;
+    control_service& operator=(const control_service&) = delete;
+    virtual ~control_service() = default;
+
+    /// Done once every later leader knows the worker in this state.
+    virtual void report_worker(worker_report report, control_done done) = 0;
+    virtual void remove_worker(base::worker_id id, base::wall_time born, control_done done) = 0;
+    /// Done once the configuration, or one with a higher version, is in force.
+    virtual void put_catalog(std::string document, control_done done) = 0;
+    /// `body` is the newest configuration as it was sent.
+    virtual void get_catalog(control_done done) = 0;
+};
+
+} // namespace lovagebeam::controlplane
--- /dev/null
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -0,0 +1,206 @@
+#pragma once
+
+#include "lovagebeam/jobs/advice_desk.h"
+#include "lovagebeam/jobs/ledger.h"
+#include "lovagebeam/jobs/orders.h"
+#include "lovagebeam/jobs/worker_table.h"
+
+#include "jobs.pb.h"
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::jobs {
+
+struct planner_settings {
+    /// Part of a pool's processors that only work of the most urgent queues takes.
+    double urgent_headroom = 0.05;
+    /// Room for a gang is kept this long while its tickets are renewed.
+    milliseconds reservation{1'500};
+    /// First pause after a start that a worker refused; doubled with each further one.
+    milliseconds retry_first{100};
+    milliseconds retry_max{1'600};
+    /// A job past this many objectives is served after those that can still be in time.
+    double hopeless_objectives = 3;
+    /// Jobs that have ended are kept this long.
+    milliseconds retention{150'000};
+    milliseconds forget_interval{5'000};
+    /// A timed occurrence isn't started before its time plus this margin for the error of clocks.
+    milliseconds due_margin{20};
+};
+
+struct coordinator_settings {
+    worker_settings workers;
+    advice_settings advice;
+    planner_settings planner;
+};
+
+/// What the coordinator wants done, in any order but that of `batches`.
+struct coordinator_output {
+    /// Operations to commit as one command. Answer with `on_batch_committed`; if one can't be
+    /// committed, the coordinator must be replaced by a new one.
+    std::vector<std::pair<std::uint64_t, proto::jobs::Batch>> batches;
+    std::vector<start_order> starts;
+    std::vector<stop_order> stops;
+    std::vector<hold_order> holds;
+    std::vector<advice_order> advice;
+    std::vector<decision_note> notes;
+};
+
+/// The leader's scheduler of jobs: decides which task starts where and when, gets the decision
+/// committed, and only then orders the start. Lives while one leadership lasts; a new leader builds
+/// a new one from the ledger. No I/O and no clock. Not thread-safe.
+class coordinator {
+public:
+    /// `records` must outlive the coordinator.
+    coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
+                base::time_point now, base::wall_time wall);
+    ~coordinator();
+    coordinator(const coordinator&) = delete;
+    coordinator& operator=(const coordinator&) = delete;
+
+    void on_catalog(std::shared_ptr<const catalog> catalog);
+    /// An agent that makes advice calls is there.
+    void on_agent(base::time_point now, const base::node_id& agent);
+    /// A job is about to be committed: advice on its first steps is asked meanwhile.
+    void on_submission(base::time_point now, const job_spec& spec);
+    /// The ledger applied this batch.
+    void on_applied(base::time_point now, const proto::jobs::Batch& batch);
+    void on_batch_committed(std::uint64_t id);
+
+    void on_clock(base::time_point now, const base::worker_id& worker, worker_time clock);
+    void on_start_answer(base::time_point now, const run_key& run, const base::worker_id& worker,
+                         start_outcome outcome);
+    void on_stop_done(base::time_point now, const run_key& run, const base::worker_id& worker);
+    void on_hold_done(base::time_point now, base::time_point sent, const worker_address& to,
+                      hold_outcome outcome, const hold_answer& answer);
+    void on_advice(base::time_point now, std::uint64_t id,
+                   const std::optional<std::vector<advice_row>>& rows);
+
+    /// Due every 10 ms or so.
+    void tick(base::time_point now, base::wall_time wall);
+
+    /// Returns and clears what the calls since the last one led to.
+    coordinator_output take(base::time_point now, base::wall_time wall);
+
+    [[nodiscard]] const worker_table& workers() const { return m_workers; }
+    [[nodiscard]] std::size_t ready_steps() const { return m_ready.size(); }
+    /// Runs that were decided and aren't committed yet.
+    [[nodiscard]] std::size_t decided_runs() const { return m_planned.size(); }
+
+private:
+    struct ready_step {
+        bool is_gang = false;
+        std::uint32_t priority = 0;
+        base::wall_time due_by;   ///< when the job's objective ends
+        base::wall_time hopeless; ///< after it the job earns nothing
+        base::time_point not_before;
+        std::uint32_t refusals = 0;
+    };
+    struct candidate_worker {
+        const worker_info* info = nullptr;
+        size free;
+    };
+    struct assignment {
+        std::uint32_t index = 0;
+        candidate_worker* worker = nullptr;
+    };
+    struct reservation {
+        base::time_point until;
+        std::vector<std::pair<base::worker_id, size>> sizes;
+    };
+    struct planned_run {
+        base::worker_id worker;
+        jobs::size size;
+        std::string account;
+    };
+    /// One step with what planning needs of it.
+    struct planned_step {
+        const job_record& job;
+        step_key key;
+        const step_spec& spec;
+        const step_record& record;
+        std::string pool;
+    };
+    /// Whether tickets have to be valid now.
+    enum class ticket_rule { valid, any };
+
+    // Events.
+    void add_ready_steps(const job_record& job);
+    void add_ready_step(const job_record& job, const step_key& key);
+    void remove_job(const job_record& job);
+    void on_placed(base::time_point now, const proto::jobs::PlaceTasks& operation);
+    void on_ended(base::time_point now, const proto::jobs::EndTask& operation);
+    void on_not_done(base::time_point now, const job_record& job, const run_key& run,
+                     const base::worker_id& worker, proto::jobs::EndKind how);
+    void stop_gang(base::time_point now, const job_record& job, const step_key& key);
+    void stop_job(base::time_point now, const job_record& job);
+    void send_start(base::time_point now, const run_key& run);
+    void collect_worker_output();
+    void add_due_steps(base::wall_time wall);
+    proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
+
+    // Planning.
+    void plan(base::time_point now, base::wall_time wall);
+    void list_candidates(base::time_point now);
+    void plan_step(base::time_point now, const step_key& key, ready_step& ready);
+    std::vector<assignment> assign(base::time_point now, const planned_step& step,
+                                   ticket_rule rule);
+    std::vector<assignment> assign_in_one_rack(base::time_point now, const planned_step& step,
+                                               ticket_rule rule);
+    std::vector<assignment> assign_within(base::time_point now, const planned_step& step,
+                                          ticket_rule rule, const std::string* rack);
+    candidate_worker* choose(base::time_point now, const planned_step& step, ticket_rule rule,
+                      const std::string* rack,
+                      const std::map<base::worker_id, std::uint32_t>& counts);
+    [[nodiscard]] bool is_allowed(base::time_point now, const planned_step& step,
+                                  const base::worker_id& worker, ticket_rule rule) const;
+    void ask_advice(base::time_point now, const planned_step& step, const ready_step& ready);
+    void ask_about(base::time_point now, const step_key& key, const job_spec& job,
+                   const std::string& pool, const advice_policy& policy, base::wall_time due_by);
+    void commit(const planned_step& step, const std::vector<assignment>& chosen);
+    void unplan(const task_key& key);
+    void reserve(base::time_point now, const planned_step& step,
+                 const std::vector<assignment>& chosen);
+    void release_reservation(const step_key& key);
+    [[nodiscard]] bool has_headroom(const planned_step& step, const size& more) const;
+    [[nodiscard]] bool is_within_limit(const std::string& account, const size& more) const;
+    [[nodiscard]] const advice_policy* advice_for(const job_spec& job) const;
+    [[nodiscard]] std::string pool_of(const job_spec& job) const;
+    [[nodiscard]] std::map<base::worker_id, std::uint32_t>
+    counts_on_workers(const planned_step& step) const;
+    [[nodiscard]] base::wall_time objective_end(const job_spec& job, base::wall_time from,
+                                                double objectives) const;
+
+    coordinator_settings m_settings;
+    const ledger& m_ledger;
+    fencing_token m_token;
+    worker_table m_workers;
+    advice_desk m_advice;
+    std::shared_ptr<const catalog> m_catalog;
+    std::map<step_key, ready_step> m_ready;
+    std::set<std::pair<base::wall_time, step_key>> m_later; ///< timed steps that aren't due
+    std::map<task_key, planned_run> m_planned;              ///< decided, not yet committed
+    std::map<base::worker_id, size> m_planned_on;           ///< with reservations
+    std::map<std::string, size> m_planned_by;
+    std::map<step_key, reservation> m_reserved;
+    std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
+    std::vector<candidate_worker> m_candidates;
+    std::map<std::string, size> m_pool_free;
+    std::map<std::string, size> m_pool_capacity;
+    proto::jobs::Batch m_batch;
+    std::uint64_t m_last_batch = 0;
+    std::vector<worker_table::cursor_move> m_cursors; ///< of the batch in the making
+    std::map<std::uint64_t, std::vector<worker_table::cursor_move>> m_batch_cursors;
+    base::time_point m_last_forget;
+    bool m_is_dirty = true; ///< something changed that may let a task start
+    coordinator_output m_out;
+};
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/include/lovagebeam/jobs/ledger.h
@@ -0,0 +1,140 @@
+#pragma once
+
+#include "lovagebeam/jobs/model.h"
+
+#include "jobs.pb.h"
+
+#include <absl/status/status.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagebeam::jobs {
+
+/// What the ledger knows of one task. A task that is `done` and still `placed` holds its capacity
+/// until its worker lists the end.
+struct task_record {
+    bool placed = false;
+    bool done = false;
+    std::uint32_t attempt = 0; ///< of the last placement
+    std::uint32_t failures = 0;
+    base::worker_id worker;
+    base::wall_time born; ///< life of the worker that the task was placed on
+    std::string checkpoint;
+};
+
+struct step_record {
+    std::vector<task_record> tasks;
+    std::uint32_t undone = 0;         ///< tasks that aren't done
+    std::uint32_t placed = 0;         ///< tasks that hold capacity
+    std::uint32_t failed_attempt = 0; ///< last attempt of a gang that counted as failed
+};
+
+struct job_record {
+    job_spec spec;
+    base::wall_time accepted;
+    base::wall_time ended; ///< once the state is final
+    job_state state = job_state::queued;
+    bool was_placed = false;
+    std::uint32_t placed = 0;       ///< tasks that hold capacity
+    std::vector<step_record> steps; ///< by occurrence, then step
+
+    [[nodiscard]] const step_record& step(std::uint32_t occurrence, std::uint32_t step) const
+    {
+        return steps[occurrence * spec.steps.size() + step];
+    }
+    [[nodiscard]] step_record& step(std::uint32_t occurrence, std::uint32_t step)
+    {
+        return steps[occurrence * spec.steps.size() + step];
+    }
+    /// Whether every step that `step` depends on is done in `occurrence`.
+    [[nodiscard]] bool is_ready(std::uint32_t occurrence, std::uint32_t step) const;
+};
+
+/// The replicated record of jobs, placements, workers and the configuration document. Like the
+/// rest of the state it has no clock and no I/O: the same batches give the same content everywhere.
+/// Not thread-safe. Pointers stay valid until the next `apply`.
+class ledger {
+public:
+    /// Applies a serialized `proto::jobs::Batch`. Operations that no longer fit (a resent job, an
+    /// end that is known already) change nothing. Fails with `invalid_request` for bytes that aren't
+    /// a batch.
+    absl::Status apply(std::string_view bytes);
+
+    [[nodiscard]] std::string encode() const;
+    /// Replaces the content by that of `encode`. Fails with `snapshot_corrupt`.
+    absl::Status decode(std::string_view bytes);
+
+    /// Depends on everything that was applied.
+    [[nodiscard]] std::uint64_t history() const { return m_history; }
+
+    [[nodiscard]] const job_record* find(job_number id) const;
+    [[nodiscard]] const task_record* find(const task_key& key) const;
+    [[nodiscard]] const std::map<job_number, job_record>& jobs() const { return m_jobs; }
+    /// Jobs that aren't final, or still hold capacity.
+    [[nodiscard]] const std::set<job_number>& open_jobs() const { return m_open; }
+
+    [[nodiscard]] const std::map<base::worker_id, worker_info>& workers() const
+    {
+        return m_workers;
+    }
+    /// Tasks that hold capacity of a worker.
+    [[nodiscard]] const std::set<task_key>& placed_on(const base::worker_id& worker) const;
+    [[nodiscard]] size used_on(const base::worker_id& worker) const;
+    [[nodiscard]] size used_by(const std::string& account) const;
+    /// Accepted jobs of a queue none of whose tasks was ever placed, without those that wait for
+    /// their time.
+    [[nodiscard]] std::uint64_t pending(std::string_view queue) const;
+
+    [[nodiscard]] std::uint64_t catalog_version() const { return m_catalog_version; }
+    [[nodiscard]] const std::string& catalog_document() const { return m_catalog; }
+
+private:
+    void apply(const proto::jobs::AcceptJob& operation);
+    void apply(const proto::jobs::CancelJob& operation, base::wall_time now);
+    void apply(const proto::jobs::PlaceTasks& operation);
+    void apply(const proto::jobs::EndTask& operation, base::wall_time now);
+    void apply(const proto::jobs::ForgetJobs& operation);
+    void apply_one(const proto::jobs::Operation& operation, base::wall_time now);
+
+    [[nodiscard]] bool may_place(const proto::jobs::PlaceTasks& operation) const;
+    void place(const proto::jobs::Placement& placement);
+    void release(job_record& job, const task_key& key, task_record& task);
+    void end_gang(job_record& job, const task_key& key, const proto::jobs::EndTask& operation,
+                  base::wall_time now);
+    void count_failure(job_record& job, task_record& task, base::wall_time now);
+    void finish(job_record& job, job_state state, base::wall_time now);
+    void finish_if_complete(job_record& job, base::wall_time now);
+    void index(job_record& job);
+    void index_placements(const job_record& job);
+    void close_if_released(job_record& job);
+
+    std::map<job_number, job_record> m_jobs;
+    std::map<base::worker_id, worker_info> m_workers;
+    std::uint64_t m_catalog_version = 0;
+    std::string m_catalog;
+    std::uint64_t m_history = 0;
+
+    // Derived from the above.
+    std::set<job_number> m_open;
+    std::map<base::worker_id, std::set<task_key>> m_placed;
+    std::map<base::worker_id, size> m_used_on;
+    std::map<std::string, size> m_used_by;
+    std::map<std::string, std::uint64_t, std::less<>> m_pending;
+};
+
+/// What a task takes from its worker: nothing for one that fills unused capacity.
+size booked_size(const step_spec& step);
+
+proto::jobs::JobSpec to_proto(const job_spec& spec);
+job_spec from_proto(const proto::jobs::JobSpec& message);
+proto::jobs::WorkerInfo to_proto(const worker_info& info);
+worker_info from_proto(const proto::jobs::WorkerInfo& message);
+proto::jobs::TaskRef to_proto(const run_key& run);
+run_key from_proto(const proto::jobs::TaskRef& message);
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/include/lovagebeam/settings/process_settings.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/settings/daemon_settings.h"
+
+#include <absl/status/statusor.h>
+
+#include <chrono>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lovagebeam::settings {
+
+/// How workers get their orders. Only calls to them are supported.
+enum class control_mode { calls };
+
+/// The settings of one process of the job system, core or entry.
+struct process_settings {
+    base::node_id node;
+    std::string address; ///< of this host
+    base::failure_domain domain;
+    std::string data_folder; ///< empty on a host without a disk
+    std::optional<endpoint> callers;
+    std::optional<endpoint> readiness;
+    std::optional<endpoint> control;
+    std::optional<endpoint> metrics;
+    /// Ports that are free on every host for calls between hosts.
+    std::uint16_t first_internal_port = 0;
+    std::uint16_t last_internal_port = 0;
+    /// Hosts that run core processes. Those of the first start form the first group.
+    std::vector<endpoint> seeds;
+    bool is_first_start = false;
+    std::uint32_t tolerated_losses = 1; ///< hosts with a disk that may be lost at once
+    std::optional<endpoint> advice_service;
+    std::chrono::milliseconds max_lease{6'000};
+    std::chrono::milliseconds grace{6'000};
+    std::chrono::milliseconds heartbeat{1'500};
+    std::string log_level = "info";
+};
+
+/// Either valid settings or everything that is wrong with them.
+struct process_parse_result {
+    std::optional<process_settings> settings;
+    std::vector<problem> problems;
+};
+
+process_parse_result parse_process_settings(std::string_view text);
+
+/// Reads `path` and parses it. Fails with `invalid_settings`; the message has one line for each
+/// problem.
+absl::StatusOr<process_settings> load_process_settings(const std::string& path);
+
+} // namespace lovagebeam::settings
--- a/include/lovagebeam/state/cell_state.h
+++ b/include/lovagebeam/state/cell_state.h
@@ -38,6 +38,16 @@
 
 struct cell_data;
 
+} // namespace lovagebeam::state
+
+namespace lovagebeam::jobs {
+
+class ledger;
+
+} // namespace lovagebeam::jobs
+
+namespace lovagebeam::state {
+
 /// The replicated state machine of the cell. It has no I/O and no clock: the same commands at the
 /// same indices give the same state, results and digest on every replica. Not thread-safe; the
 /// decisions thread owns it. Pointers and references that queries return stay valid until the next
@@ -73,6 +83,10 @@
     static absl::StatusOr<cell_state> decode_snapshot(std::string_view bytes,
                                                       state_limits limits = {});
 
+    /// Jobs of several steps, their workers and the configuration document of their queues.
+    /// Valid as long as this object, also across `apply`.
+    [[nodiscard]] const jobs::ledger& job_ledger() const;
+
     /// Configuration.
     [[nodiscard]] const configuration& config() const;
     [[nodiscard]] base::config_version version() const;
--- /dev/null
+++ b/programs/lovagebeam/core_process.cpp
@@ -0,0 +1,70 @@
+#include "core_process.h"
+
+#include "lovagebeam/controlplane/core_host.h"
+#include "lovagebeam/telemetry/log.h"
+#include "lovagebeam/telemetry/metrics.h"
+
+#include "control_api.h"
+#include "documents.h"
+#include "worker_calls.h"
+
+#include <memory>
+#include <utility>
+
+namespace lovagebeam::programs {
+namespace {
+
+using telemetry::log_event;
+using telemetry::severity;
+
+/// Starts, a hold, stops and what comes after them may be under way to one worker.
+constexpr std::size_t connections_per_worker = 12;
+constexpr std::chrono::seconds idle_connection_time{20};
+
+targets::http_client_limits client_limits()
+{
+    targets::http_client_limits limits;
+    limits.connections_per_endpoint = connections_per_worker;
+    limits.idle_time = idle_connection_time;
+    return limits;
+}
+
+} // namespace
+
+int run_core(const process_context& context)
+{
+    telemetry::metrics_registry metrics;
+    targets::http_client client{client_limits()};
+    platform::worker_calls workers{client};
+    const platform::documents codec;
+    auto host = controlplane::core_host::create({context.settings, &workers, &codec, &metrics});
+    absl::Status status = host.status();
+    std::unique_ptr<callers::http_server> control;
+    if (status.ok() && context.settings.control) {
+        auto server = platform::make_control_server(*context.settings.control, **host);
+        status = server.status();
+        if (status.ok()) {
+            control = *std::move(server);
+        }
+    }
+    client.start();
+    if (status.ok()) {
+        status = (*host)->start();
+    }
+    if (status.ok() && control) {
+        status = control->start();
+    }
+    if (!report_start(context, "core", status.ok(), std::string{status.message()})) {
+        return exit_failed;
+    }
+    wait_for_stop(context);
+    (*host)->stop();
+    if (control) {
+        control->stop();
+    }
+    client.stop();
+    log_event{severity::info, "stopped"}.write();
+    return exit_stopped;
+}
+
+} // namespace lovagebeam::programs
--- /dev/null
+++ b/programs/lovagebeam/core_process.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "process_context.h"
+
+namespace lovagebeam::programs {
+
+/// Runs a core process until it is told to stop. Returns the exit code.
+int run_core(const process_context& context);
+
+} // namespace lovagebeam::programs
--- /dev/null
+++ b/programs/lovagebeam/entry_process.h
@@ -0,0 +1,10 @@
+#pragma once
+
+#include "process_context.h"
+
+namespace lovagebeam::programs {
+
+/// Runs an entry process until it is told to stop. Returns the exit code.
+int run_entry(const process_context& context);
+
+} // namespace lovagebeam::programs
--- /dev/null
+++ b/src/controlplane/caller_service.cpp
@@ -0,0 +1,214 @@
+#include "caller_service.h"
+
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include <algorithm>
+#include <charconv>
+#include <chrono>
+#include <optional>
+#include <utility>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+namespace pb = proto::controlplane;
+
+using telemetry::log_event;
+using telemetry::severity;
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_bad_request = 400;
+constexpr unsigned status_unauthorized = 401;
+constexpr unsigned status_not_found = 404;
+constexpr unsigned status_method_not_allowed = 405;
+constexpr unsigned status_gone = 410;
+constexpr unsigned status_unavailable = 503;
+
+/// Digits of a job's id.
+constexpr std::size_t id_digits = 16;
+/// A queue that isn't configured yet may be so by then.
+constexpr std::chrono::milliseconds unconfigured_retry{500};
+
+pb::CallerAnswer answer_with(unsigned status, std::string body = "{}")
+{
+    pb::CallerAnswer out;
+    out.set_status(status);
+    out.set_body(std::move(body));
+    return out;
+}
+
+std::optional<jobs::job_number> parse_id(std::string_view text)
+{
+    const bool is_hex = text.size() == id_digits &&
+                        text.find_first_not_of("0123456789abcdef") == std::string_view::npos;
+    std::uint64_t value = 0;
+    if (!is_hex) {
+        return std::nullopt;
+    }
+    std::from_chars(text.data(), text.data() + text.size(), value, 16);
+    return jobs::job_number{value};
+}
+
+base::wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+pb::CallerAnswer answer_of(caller_service::commit_outcome outcome)
+{
+    pb::CallerAnswer out;
+    if (outcome == caller_service::commit_outcome::committed) {
+        out = answer_with(status_ok);
+    }
+    out.set_not_leader(outcome == caller_service::commit_outcome::refused);
+    out.set_in_doubt(outcome == caller_service::commit_outcome::in_doubt);
+    return out;
+}
+
+void log_refusal(const pb::CallerCall& call, unsigned status, std::string_view why)
+{
+    log_event{severity::info, "request_refused"}
+        .with("path", call.path())
+        .with("method", call.method())
+        .with("entry", call.entry())
+        .with("status", status)
+        .with("why", why)
+        .write();
+}
+
+} // namespace
+
+void caller_service::handle(base::time_point now, const jobs::catalog* catalog,
+                            const pb::CallerCall& call, done reply)
+{
+    const auto refuse = [&](unsigned status, std::string_view why) {
+        log_refusal(call, status, why);
+        reply(answer_with(status));
+    };
+    if (catalog == nullptr) {
+        auto unavailable = answer_with(status_unavailable);
+        unavailable.set_retry_after_ms(unconfigured_retry.count());
+        log_refusal(call, status_unavailable, "no configuration yet");
+        reply(std::move(unavailable));
+        return;
+    }
+    subject about;
+    about.queue = catalog->find_queue(call.host(), call.path());
+    if (about.queue == nullptr) {
+        refuse(status_not_found, "no such queue");
+        return;
+    }
+    const auto account = catalog->account_by_key.find(call.key());
+    if (account != catalog->account_by_key.end()) {
+        about.account = account->second;
+    }
+    else if (!about.queue->open) {
+        refuse(status_unauthorized, "unknown key");
+        return;
+    }
+    const auto rest = std::string_view{call.path()}.substr(about.queue->path_prefix.size());
+    const auto id = parse_id(rest);
+    if (!rest.empty() && !id) {
+        refuse(call.method() == "POST" ? status_bad_request : status_not_found, "malformed id");
+        return;
+    }
+    about.names_job = id.has_value();
+    about.job = id.value_or(jobs::job_number{});
+    if (call.method() == "POST" && about.names_job) {
+        submit(now, about, call.body(), std::move(reply));
+    }
+    else if (call.method() == "GET") {
+        show(about, reply);
+    }
+    else if (call.method() == "DELETE" && about.names_job) {
+        cancel(now, about, std::move(reply));
+    }
+    else {
+        refuse(status_method_not_allowed, "method");
+    }
+}
+
+void caller_service::submit(base::time_point now, const subject& about, std::string_view body,
+                            done reply)
+{
+    if (m_parts.records().find(about.job) != nullptr) {
+        reply(answer_with(status_ok));
+        return;
+    }
+    if (const auto pending = m_submissions.find(about.job); pending != m_submissions.end()) {
+        pending->second.push_back(std::move(reply));
+        return;
+    }
+    auto spec = m_parts.codec->decode_job(body);
+    if (!spec.ok()) {
+        log_event{severity::info, "job_refused"}
+            .with("job", about.job.value())
+            .with("why", std::string{spec.status().message()})
+            .write();
+        reply(answer_with(status_bad_request));
+        return;
+    }
+    spec->id = about.job;
+    spec->queue = about.queue->name;
+    spec->account = about.account;
+    spec->pool = about.queue->pool;
+    spec->priority = about.queue->priority;
+    spec->max_attempts = about.queue->max_attempts;
+    spec->slack_factor = about.queue->slack_factor;
+    spec->target_latency = about.queue->target_latency;
+    m_parts.submitted(now, *spec);
+    proto::jobs::Operation operation;
+    *operation.mutable_accept()->mutable_spec() = jobs::to_proto(*spec);
+    operation.mutable_accept()->set_accepted_ms(wall_now().time_since_epoch().count());
+    m_submissions[about.job].push_back(std::move(reply));
+    m_parts.commit(now, std::move(operation), [this, id = about.job](commit_outcome outcome) {
+        finish_submission(id, outcome);
+    });
+}
+
+void caller_service::finish_submission(jobs::job_number id, commit_outcome outcome)
+{
+    const auto found = m_submissions.find(id);
+    if (found == m_submissions.end()) {
+        return;
+    }
+    const auto waiting = std::move(found->second);
+    m_submissions.erase(found);
+    for (const auto& reply : waiting) {
+        reply(answer_of(outcome));
+    }
+}
+
+void caller_service::show(const subject& about, const done& reply)
+{
+    if (!about.names_job) {
+        reply(answer_with(status_ok, m_parts.codec->encode_pending(
+                                         m_parts.records().pending(about.queue->name))));
+        return;
+    }
+    const auto* const job = m_parts.records().find(about.job);
+    if (job == nullptr) {
+        reply(answer_with(status_gone));
+        return;
+    }
+    reply(answer_with(status_ok, m_parts.codec->encode_state(job->state)));
+}
+
+void caller_service::cancel(base::time_point now, const subject& about, done reply)
+{
+    const auto* const job = m_parts.records().find(about.job);
+    if (job == nullptr || is_final(job->state)) {
+        reply(answer_with(job == nullptr ? status_gone : status_ok));
+        return;
+    }
+    proto::jobs::Operation operation;
+    operation.mutable_cancel()->set_job(about.job.value());
+    m_parts.commit(now, std::move(operation),
+                   [reply = std::move(reply)](commit_outcome outcome) {
+                       reply(answer_of(outcome));
+                   });
+}
+
+} // namespace lovagebeam::controlplane
--- /dev/null
+++ b/src/controlplane/core_control.cpp
@@ -0,0 +1,163 @@
+#include "lovagebeam/telemetry/log.h"
+
+#include "core_parts.h"
+
+#include <utility>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+using telemetry::log_event;
+using telemetry::severity;
+
+control_answer done_answer(std::string body = {})
+{
+    return {control_outcome::done, {}, std::move(body)};
+}
+
+} // namespace
+
+control_answer core_parts::refusal(base::time_point now) const
+{
+    control_answer answer;
+    answer.outcome = control_outcome::not_leader;
+    answer.leader_address = m_group.leader(now);
+    if (answer.leader_address == m_settings.address) {
+        answer.leader_address.clear();
+    }
+    return answer;
+}
+
+void core_parts::report_worker(worker_report report, control_done done)
+{
+    auto shared = std::make_shared<worker_report>(std::move(report));
+    if (!m_loop.try_post([this, shared, done](base::time_point now) {
+            handle_report(now, *shared, done);
+        })) {
+        done({});
+    }
+}
+
+void core_parts::handle_report(base::time_point now, const worker_report& report,
+                               const control_done& done)
+{
+    if (!m_coordinator || !m_log.is_established_leader(now)) {
+        done(refusal(now));
+        return;
+    }
+    const auto& known = records().workers();
+    const auto found = known.find(report.info.id);
+    auto& sequence = m_sequences[{report.info.id, report.info.born}];
+    const bool is_old =
+        report.sequence < sequence || (found != known.end() && report.info.born < found->second.born);
+    if (is_old) {
+        done(done_answer());
+        return;
+    }
+    sequence = report.sequence;
+    const bool is_known = found != known.end() && found->second.born == report.info.born;
+    auto info = report.info;
+    // A worker that leaves doesn't come back in the same life.
+    info.draining = info.draining || (is_known && found->second.draining);
+    m_coordinator->on_clock(now, info.id, report.clock);
+    if (is_known && found->second == info) {
+        done(done_answer());
+        return;
+    }
+    log_event{severity::info, is_known ? "worker_changed" : "worker_seen"}
+        .with("worker", info.id.str())
+        .with("address", info.address)
+        .with("pool", info.pool)
+        .with("draining", info.draining)
+        .with("sequence", report.sequence)
+        .write();
+    proto::jobs::Operation operation;
+    *operation.mutable_put_worker()->mutable_worker() = jobs::to_proto(info);
+    commit(now, std::move(operation), [this, done, id = info.id, clock = report.clock,
+                                       at = now](commit_outcome outcome) {
+        if (outcome == commit_outcome::committed) {
+            if (m_coordinator) {
+                m_coordinator->on_clock(at, id, clock);
+            }
+            done(done_answer());
+        }
+        else {
+            done({});
+        }
+    });
+}
+
+void core_parts::remove_worker(base::worker_id id, base::wall_time born, control_done done)
+{
+    static_cast<void>(born);
+    m_loop.post_completion([this, id = std::move(id), done](base::time_point now) {
+        if (!m_coordinator || !m_log.is_established_leader(now)) {
+            done(refusal(now));
+            return;
+        }
+        log_event{severity::info, "worker_left"}.with("worker", id.str()).write();
+        proto::jobs::Operation operation;
+        operation.mutable_remove_worker()->set_id(id.str());
+        commit(now, std::move(operation), [done](commit_outcome outcome) {
+            done(outcome == commit_outcome::committed ? done_answer() : control_answer{});
+        });
+    });
+}
+
+void core_parts::put_catalog(std::string document, control_done done)
+{
+    auto shared = std::make_shared<std::string>(std::move(document));
+    m_loop.post_completion([this, shared, done](base::time_point now) {
+        handle_catalog(now, *shared, done);
+    });
+}
+
+void core_parts::handle_catalog(base::time_point now, const std::string& document,
+                                const control_done& done)
+{
+    // A document that is invalid stays so wherever it is sent, whatever its version.
+    const auto decoded = m_codec.decode_catalog(document);
+    if (!decoded.ok()) {
+        log_event{severity::info, "configuration_refused"}
+            .with("why", std::string{decoded.status().message()})
+            .write();
+        done({control_outcome::invalid, {}, {}});
+        return;
+    }
+    if (!m_coordinator || !m_log.is_established_leader(now)) {
+        done(refusal(now));
+        return;
+    }
+    if (decoded->version <= records().catalog_version()) {
+        log_event{severity::info, "configuration_not_newer"}
+            .with("version", decoded->version)
+            .with("in_force", records().catalog_version())
+            .write();
+        done(done_answer());
+        return;
+    }
+    log_event{severity::info, "configuration_accepted"}.with("version", decoded->version).write();
+    proto::jobs::Operation operation;
+    operation.mutable_put_catalog()->set_version(decoded->version);
+    operation.mutable_put_catalog()->set_document(document);
+    commit(now, std::move(operation), [done](commit_outcome outcome) {
+        done(outcome == commit_outcome::committed ? done_answer() : control_answer{});
+    });
+}
+
+void core_parts::get_catalog(control_done done)
+{
+    m_loop.post_completion([this, done](base::time_point now) {
+        if (!m_coordinator || !m_log.is_established_leader(now)) {
+            done(refusal(now));
+        }
+        else if (records().catalog_version() == 0) {
+            done({});
+        }
+        else {
+            done(done_answer(records().catalog_document()));
+        }
+    });
+}
+
+} // namespace lovagebeam::controlplane
--- /dev/null
+++ b/src/controlplane/core_host.cpp
@@ -0,0 +1,84 @@
+#include "lovagebeam/controlplane/core_host.h"
+
+#include "lovagebeam/base/clock.h"
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/callers/http_server.h"
+#include "lovagebeam/jobs/coordinator.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include "caller_service.h"
+#include "core_group.h"
+#include "core_parts.h"
+#include "decision_loop.h"
+#include "group_file.h"
+#include "internal_calls.h"
+#include "log_storage.h"
+#include "peer_links.h"
+#include "replication.h"
+
+#include <sodium.h>
+
+#include <algorithm>
+#include <atomic>
+#include <thread>
+#include <utility>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+using base::error_code;
+using base::make_error;
+
+std::uint64_t random_run()
+{
+    std::uint64_t run = 0;
+    while (run == 0) {
+        randombytes_buf(&run, sizeof run);
+    }
+    return run;
+}
+
+absl::Status prepare_log(const settings::daemon_settings& settings, bool is_first_voter,
+                         storage::file_system& files)
+{
+    if (!is_first_voter) {
+        return absl::OkStatus();
+    }
+    auto status = daemon::init_group(settings, files);
+    // A later start finds the log of the first one.
+    return base::has_code(status, error_code::already_exists) ? absl::OkStatus() : status;
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<core_host>> core_host::create(parts given)
+{
+    if (sodium_init() < 0) {
+        return make_error(error_code::internal_error, "libsodium can't be initialised");
+    }
+    auto files = storage::make_posix_file_system();
+    std::vector<std::string> voters;
+    if (!given.settings.data_folder.empty()) {
+        auto found = first_voters(given.settings, *files);
+        if (!found.ok()) {
+            return found.status();
+        }
+        voters = *std::move(found);
+    }
+    const auto settings = log_settings(given.settings, voters);
+    const bool is_first =
+        std::ranges::find(voters, given.settings.address) != voters.end();
+    if (auto status = prepare_log(settings, is_first, *files); !status.ok()) {
+        return status;
+    }
+    const auto run = random_run();
+    auto log = daemon::open_log(settings, *files, run, base::boot_time());
+    if (!log.ok()) {
+        return log.status();
+    }
+    return std::unique_ptr<core_host>{
+        std::make_unique<core_parts>(std::move(given), settings, run, std::move(files),
+                                     *std::move(log))};
+}
+
+} // namespace lovagebeam::controlplane
--- /dev/null
+++ b/src/controlplane/core_parts.cpp
@@ -0,0 +1,481 @@
+#include "core_parts.h"
+
+#include "lovagebeam/base/clock.h"
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include "internal_calls.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+namespace pb = proto::controlplane;
+
+using base::error_code;
+using base::make_error;
+using telemetry::log_event;
+using telemetry::severity;
+
+/// The system's own hosts are the only ones on its network, and the platform gives them no secret
+/// to share. This text keeps apart systems that run side by side; it is no protection.
+constexpr std::string_view system_name = "lovagebeam-job-system-on-one-network";
+
+/// An operation that isn't committed by then may still be; the caller is told so.
+constexpr std::chrono::milliseconds commit_time{3'000};
+/// Decisions of the coordinator that aren't committed by then make it start anew.
+constexpr std::chrono::milliseconds batch_time{10'000};
+/// Fencing tokens of one term, one for each coordinator.
+constexpr std::uint64_t tokens_per_term = 1'024;
+/// How long a planned stop waits for the next leader.
+constexpr std::chrono::milliseconds handover_time{400};
+/// An entry process answers an advice call in this time beyond that of the service.
+constexpr std::chrono::milliseconds agent_time{300};
+constexpr std::size_t internal_body_bytes = std::size_t{2} << 20U;
+
+base::wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
+callers::http_response message_response(const google::protobuf::MessageLite& message)
+{
+    callers::http_response response;
+    response.content_type = "application/octet-stream";
+    response.body = message.SerializeAsString();
+    return response;
+}
+
+jobs::coordinator_settings coordinator_settings_for(const settings::process_settings& settings)
+{
+    jobs::coordinator_settings out;
+    out.workers.max_lease = settings.max_lease;
+    return out;
+}
+
+} // namespace
+
+core_parts::core_parts(parts given, const settings::daemon_settings& log_settings,
+                       std::uint64_t run, std::unique_ptr<storage::file_system> files,
+                       daemon::opened_log log)
+    : m_settings{std::move(given.settings)}, m_worker_port{*given.workers}, m_codec{*given.codec},
+      m_metrics{*given.metrics}, m_files{std::move(files)}, m_loop{&base::boot_time},
+      m_links{log_settings, std::string{system_name}, run, m_loop, m_metrics},
+      m_writer{daemon::make_writer(std::move(log.store), m_loop)},
+      m_log{{log_settings.node, std::move(log.replica), std::move(log.state),
+             std::move(log.snapshot), std::move(log.snapshot_bytes), &m_links, m_writer.get(),
+             this}},
+      m_group{m_settings, log.identity, m_log, m_links, m_client, m_loop},
+      m_callers{{&m_codec, [this]() -> const jobs::ledger& { return records(); },
+                 [this](base::time_point now, proto::jobs::Operation operation, commit_done done) {
+                     commit(now, std::move(operation), std::move(done));
+                 },
+                 [this](base::time_point now, const jobs::job_spec& spec) {
+                     if (m_coordinator) {
+                         m_coordinator->on_submission(now, spec);
+                     }
+                 }}}
+{
+    read_catalog();
+}
+
+core_parts::~core_parts()
+{
+    stop();
+}
+
+absl::Status core_parts::start()
+{
+    callers::http_server_limits limits;
+    limits.body_bytes = internal_body_bytes;
+    auto server = callers::http_server_builder{}
+                      .listen(m_settings.address, core_port(m_settings))
+                      .limits(limits)
+                      .handler([this](callers::http_request request, const callers::reply& reply) {
+                          on_request(std::move(request), reply);
+                      })
+                      .build();
+    if (!server.ok()) {
+        return server.status();
+    }
+    m_server = *std::move(server);
+    m_client.start();
+    auto status = m_links.start({[this](auto now, const auto&, auto& message) {
+                                     if (message.has_consensus()) {
+                                         m_log.on_consensus(
+                                             now, std::move(*message.mutable_consensus()));
+                                     }
+                                 },
+                                 [](auto, const auto&, auto) {}, [](auto, const auto&) {}});
+    if (!status.ok()) {
+        return status;
+    }
+    m_decisions = std::thread{[this] {
+        m_loop.run({[this](auto now) { tick(now); }, [this](auto now) { after_batch(now); }});
+    }};
+    return m_server->start();
+}
+
+void core_parts::stop()
+{
+    if (m_is_stopped.exchange(true) || !m_decisions.joinable()) {
+        return;
+    }
+    m_loop.post_completion([this](base::time_point now) {
+        stop_leading();
+        m_log.resign(now);
+    });
+    std::this_thread::sleep_for(handover_time);
+    m_loop.stop();
+    m_decisions.join();
+    m_server->stop();
+    m_client.stop();
+    m_links.stop();
+}
+
+void core_parts::on_applied(base::time_point now, const state::command& command,
+                            const state::apply_result& result)
+{
+    if (!command.has_job_batch() || !result.status.ok()) {
+        return;
+    }
+    read_catalog();
+    proto::jobs::Batch batch;
+    if (m_coordinator && batch.ParseFromString(command.job_batch())) {
+        m_coordinator->on_applied(now, batch);
+    }
+}
+
+void core_parts::on_replaced(base::time_point)
+{
+    read_catalog();
+}
+
+void core_parts::on_role(base::time_point, const consensus::role_change& change)
+{
+    log_event{severity::info, "role_changed"}
+        .with("role", consensus::name_of(change.role))
+        .with("term", change.term.value())
+        .with("leader", change.leader.str())
+        .write();
+    if (change.role != consensus::replica_role::leader || change.term != m_term) {
+        stop_leading();
+        m_rebuilds = 0;
+        m_term = change.term;
+    }
+}
+
+void core_parts::read_catalog()
+{
+    const auto version = records().catalog_version();
+    if (version == 0 || (m_catalog && m_catalog->version == version)) {
+        return;
+    }
+    auto decoded = m_codec.decode_catalog(records().catalog_document());
+    if (!decoded.ok()) {
+        // It was checked before it was committed, by a program that may have been another version.
+        log_event{severity::error, "configuration_unreadable"}
+            .with("version", version)
+            .with("detail", std::string{decoded.status().message()})
+            .write();
+        return;
+    }
+    m_catalog = std::make_shared<const jobs::catalog>(*std::move(decoded));
+    log_event{severity::info, "configuration_applied"}
+        .with("version", version)
+        .with("queues", m_catalog->queues.size())
+        .with("accounts", m_catalog->accounts.size())
+        .write();
+    if (m_coordinator) {
+        m_coordinator->on_catalog(m_catalog);
+    }
+}
+
+void core_parts::tick(base::time_point now)
+{
+    m_log.tick(now);
+    m_group.tick(now);
+    if (m_log.is_established_leader(now) && !m_is_stopped) {
+        lead(now);
+    }
+    if (m_coordinator) {
+        m_coordinator->tick(now, wall_now());
+    }
+}
+
+void core_parts::lead(base::time_point now)
+{
+    if (m_coordinator) {
+        return;
+    }
+    ++m_generation;
+    const jobs::fencing_token token{m_log.replica().current_term().value() * tokens_per_term +
+                                    m_rebuilds++};
+    m_coordinator = std::make_unique<jobs::coordinator>(coordinator_settings_for(m_settings),
+                                                        records(), token, now, wall_now());
+    if (m_catalog) {
+        m_coordinator->on_catalog(m_catalog);
+    }
+    log_event{severity::info, "leading"}
+        .with("token", token.value())
+        .with("workers", records().workers().size())
+        .with("open_jobs", records().open_jobs().size())
+        .write();
+}
+
+void core_parts::stop_leading()
+{
+    if (m_coordinator) {
+        log_event{severity::info, "stopped_leading"}.write();
+        m_coordinator.reset();
+    }
+}
+
+void core_parts::after_batch(base::time_point now)
+{
+    // Without a valid lease another leader may give orders already.
+    if (m_coordinator && m_log.is_established_leader(now)) {
+        carry_out(now);
+    }
+    m_log.flush(now);
+}
+
+void core_parts::carry_out(base::time_point now)
+{
+    auto out = m_coordinator->take(now, wall_now());
+    for (auto& [id, batch] : out.batches) {
+        commit_batch(now, id, std::move(batch));
+    }
+    for (const auto& order : out.starts) {
+        send(now, order);
+    }
+    for (const auto& order : out.stops) {
+        send(now, order);
+    }
+    for (const auto& order : out.holds) {
+        send(now, order);
+    }
+    for (const auto& order : out.advice) {
+        send(order);
+    }
+    for (const auto& note : out.notes) {
+        log_event line{severity::info, note.event};
+        if (note.job) {
+            line.with("job", note.job->value());
+        }
+        line.with("detail", note.detail).write();
+    }
+}
+
+void core_parts::post_to_coordinator(
+    std::uint64_t generation, std::function<void(base::time_point, jobs::coordinator&)> work)
+{
+    m_loop.post_completion([this, generation, work = std::move(work)](base::time_point now) {
+        if (m_coordinator && m_generation == generation) {
+            work(now, *m_coordinator);
+        }
+    });
+}
+
+void core_parts::send(base::time_point, const jobs::start_order& order)
+{
+    m_worker_port.start(order, [this, generation = m_generation, run = order.run,
+                                worker = order.to.worker](jobs::start_outcome outcome) {
+        post_to_coordinator(generation, [=](base::time_point now, jobs::coordinator& to) {
+            to.on_start_answer(now, run, worker, outcome);
+        });
+    });
+}
+
+void core_parts::send(base::time_point, const jobs::stop_order& order)
+{
+    m_worker_port.stop(order, [this, generation = m_generation, run = order.run,
+                               worker = order.to.worker](bool is_done) {
+        if (is_done) {
+            post_to_coordinator(generation, [=](base::time_point now, jobs::coordinator& to) {
+                to.on_stop_done(now, run, worker);
+            });
+        }
+    });
+}
+
+void core_parts::send(base::time_point now, const jobs::hold_order& order)
+{
+    m_worker_port.hold(order, [this, generation = m_generation, sent = now,
+                               to = order.to](jobs::hold_outcome outcome,
+                                              jobs::hold_answer answer) {
+        post_to_coordinator(generation,
+                            [sent, to, outcome, answer = std::move(answer)](
+                                base::time_point when, jobs::coordinator& coordinator) {
+                                coordinator.on_hold_done(when, sent, to, outcome, answer);
+                            });
+    });
+}
+
+void core_parts::send(const jobs::advice_order& order)
+{
+    pb::AdviceRequest request;
+    request.set_job(order.step.job.value());
+    request.set_occurrence(order.step.occurrence);
+    request.set_step(order.step.step);
+    for (const auto& worker : order.workers) {
+        request.add_workers(worker.str());
+    }
+    request.set_timeout_ms((order.expected + agent_time).count());
+    post_message<pb::AdviceAnswer>(
+        m_client, order.agent.str(), entry_port(m_settings), advice_path, request,
+        order.expected + agent_time,
+        [this, generation = m_generation,
+         id = order.id](std::optional<pb::AdviceAnswer> answer, call_failure) {
+            std::optional<std::vector<jobs::advice_row>> rows;
+            if (answer && answer->answered()) {
+                rows.emplace();
+                for (const auto& row : answer->rows()) {
+                    rows->push_back({base::worker_id{row.worker()}, row.ticket()});
+                }
+            }
+            post_to_coordinator(generation, [id, rows = std::move(rows)](
+                                                base::time_point now, jobs::coordinator& to) {
+                to.on_advice(now, id, rows);
+            });
+        });
+}
+
+void core_parts::commit_batch(base::time_point now, std::uint64_t id, proto::jobs::Batch batch)
+{
+    state::command command;
+    command.set_job_batch(batch.SerializeAsString());
+    m_log.propose_as_leader(
+        now, std::move(command), now + batch_time,
+        [this, generation = m_generation, id](const absl::StatusOr<state::apply_result>& result) {
+            if (!m_coordinator || m_generation != generation) {
+                return;
+            }
+            if (result.ok() && result->status.ok()) {
+                m_coordinator->on_batch_committed(id);
+                return;
+            }
+            log_event{severity::warning, "decisions_not_committed"}
+                .with("detail", std::string{result.status().message()})
+                .write();
+            // Not here: the coordinator may be the caller.
+            m_loop.post_completion([this, generation](base::time_point) {
+                if (m_generation == generation) {
+                    stop_leading();
+                }
+            });
+        });
+}
+
+void core_parts::commit(base::time_point now, proto::jobs::Batch batch, commit_done done)
+{
+    batch.set_time_ms(wall_now().time_since_epoch().count());
+    state::command command;
+    command.set_job_batch(batch.SerializeAsString());
+    m_log.propose_as_leader(now, std::move(command), now + commit_time,
+                            [done = std::move(done)](const auto& result) {
+                                if (result.ok()) {
+                                    done(commit_outcome::committed);
+                                }
+                                else if (base::has_code(result.status(), error_code::not_leader) ||
+                                         base::has_code(result.status(), error_code::queue_full)) {
+                                    done(commit_outcome::refused);
+                                }
+                                else {
+                                    done(commit_outcome::in_doubt);
+                                }
+                            });
+}
+
+void core_parts::commit(base::time_point now, proto::jobs::Operation operation, commit_done done)
+{
+    proto::jobs::Batch batch;
+    *batch.add_operations() = std::move(operation);
+    commit(now, std::move(batch), std::move(done));
+}
+
+void core_parts::on_request(callers::http_request request, const callers::reply& reply)
+{
+    auto shared = std::make_shared<callers::http_request>(std::move(request));
+    if (!m_loop.try_post(
+            [this, shared, reply](base::time_point now) { serve(now, *shared, reply); })) {
+        reply(callers::error_response(503, error_code::queue_full, "too many calls wait"));
+    }
+}
+
+void core_parts::serve(base::time_point now, const callers::http_request& request,
+                       const callers::reply& reply)
+{
+    const auto path = request.path();
+    if (path == caller_path) {
+        serve_caller(now, request.body, reply);
+    }
+    else if (path == sync_path) {
+        serve_sync(now, request.body, reply);
+    }
+    else if (path == hello_path) {
+        serve_hello(now, request.body, reply);
+    }
+    else {
+        reply(callers::error_response(404, error_code::not_found, "no such call"));
+    }
+}
+
+void core_parts::serve_caller(base::time_point now, const std::string& body,
+                              const callers::reply& reply)
+{
+    pb::CallerCall call;
+    if (!call.ParseFromString(body)) {
+        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
+        return;
+    }
+    if (!m_coordinator || !m_log.is_established_leader(now)) {
+        pb::CallerAnswer answer;
+        answer.set_not_leader(true);
+        answer.set_leader(m_group.leader(now));
+        reply(message_response(answer));
+        return;
+    }
+    m_callers.handle(now, m_catalog.get(), call, [reply](const pb::CallerAnswer& answer) {
+        reply(message_response(answer));
+    });
+}
+
+void core_parts::serve_sync(base::time_point now, const std::string& body,
+                            const callers::reply& reply)
+{
+    pb::SyncRequest request;
+    if (!request.ParseFromString(body)) {
+        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
+        return;
+    }
+    pb::SyncAnswer answer;
+    const bool is_leader = m_coordinator && m_log.is_established_leader(now);
+    answer.set_is_leader(is_leader);
+    answer.set_leader(m_group.leader(now));
+    for (const auto& core : m_group.cores()) {
+        answer.add_cores(core);
+    }
+    answer.set_catalog_version(records().catalog_version());
+    if (is_leader) {
+        m_coordinator->on_agent(now, base::node_id{request.entry()});
+    }
+    reply(message_response(answer));
+}
+
+void core_parts::serve_hello(base::time_point now, const std::string& body,
+                             const callers::reply& reply)
+{
+    pb::CoreHello hello;
+    if (!hello.ParseFromString(body)) {
+        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
+        return;
+    }
+    reply(message_response(m_group.on_hello(now, hello)));
+}
+
+} // namespace lovagebeam::controlplane
--- /dev/null
+++ b/src/controlplane/entry_host.cpp
@@ -0,0 +1,297 @@
+#include "lovagebeam/controlplane/entry_host.h"
+
+#include "lovagebeam/base/clock.h"
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/callers/http_server.h"
+#include "lovagebeam/targets/http_client.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include "decision_loop.h"
+#include "internal_calls.h"
+#include "leader_link.h"
+
+#include <algorithm>
+#include <atomic>
+#include <charconv>
+#include <future>
+#include <thread>
+#include <utility>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+namespace pb = proto::controlplane;
+
+using base::error_code;
+using base::make_error;
+using telemetry::log_event;
+using telemetry::severity;
+
+constexpr unsigned status_unavailable = 503;
+constexpr unsigned status_gateway_timeout = 504;
+
+/// Taken when a caller doesn't say how long it waits.
+constexpr std::chrono::milliseconds default_deadline{3'000};
+/// A caller that found no leader may come back after this time.
+constexpr std::chrono::milliseconds leaderless_retry{1'000};
+/// The balancer notices a process that isn't ready within two of its probes, a second apart.
+constexpr std::chrono::milliseconds unready_time{2'300};
+/// Left of the grace time when connections are closed.
+constexpr std::chrono::milliseconds stop_margin{700};
+constexpr std::size_t caller_body_bytes = std::size_t{256} << 10U;
+
+std::chrono::milliseconds deadline_of(const callers::http_request& request,
+                                      const std::string& header)
+{
+    std::int64_t value = default_deadline.count();
+    if (const auto text = request.header(header)) {
+        std::int64_t parsed = 0;
+        const auto end = text->data() + text->size();
+        if (std::from_chars(text->data(), end, parsed).ptr == end && parsed > 0) {
+            value = std::min<std::int64_t>(parsed, 60'000);
+        }
+    }
+    return std::chrono::milliseconds{value};
+}
+
+std::string host_of(const callers::http_request& request)
+{
+    const auto header = request.header("Host").value_or("");
+    return std::string{header.substr(0, header.find(':'))};
+}
+
+class entry_parts final : public entry_host {
+public:
+    explicit entry_parts(parts given)
+        : m_settings{std::move(given.settings)}, m_advice{*given.advice},
+          m_headers{std::move(given.headers)}, m_loop{&base::boot_time},
+          m_link{m_settings, m_client, m_loop}
+    {
+    }
+
+    ~entry_parts() override { stop_threads(); }
+
+    absl::Status start() override;
+    void stop() override;
+
+private:
+    absl::Status listen(const settings::endpoint& at, std::size_t body_bytes,
+                        callers::request_handler handler,
+                        std::unique_ptr<callers::http_server>& server);
+    void on_caller(callers::http_request request, const callers::reply& reply);
+    void on_readiness(const callers::http_request& request, const callers::reply& reply);
+    void on_internal(const callers::http_request& request, const callers::reply& reply);
+    static void answer(const leader_link::outcome& outcome, const callers::reply& reply,
+                       const pb::CallerCall& call);
+    void stop_threads();
+
+    settings::process_settings m_settings;
+    advice_port& m_advice;
+    caller_headers m_headers;
+    daemon::decision_loop m_loop;
+    targets::http_client m_client;
+    leader_link m_link;
+    std::unique_ptr<callers::http_server> m_callers;
+    std::unique_ptr<callers::http_server> m_readiness;
+    std::unique_ptr<callers::http_server> m_internal;
+    std::thread m_decisions;
+    std::atomic<bool> m_is_connected = false;
+    std::atomic<bool> m_is_stopping = false;
+};
+
+absl::Status entry_parts::listen(const settings::endpoint& at, std::size_t body_bytes,
+                                 callers::request_handler handler,
+                                 std::unique_ptr<callers::http_server>& server)
+{
+    callers::http_server_limits limits;
+    limits.body_bytes = body_bytes;
+    auto built = callers::http_server_builder{}
+                     .listen(at.address, at.port)
+                     .limits(limits)
+                     .handler(std::move(handler))
+                     .build();
+    if (!built.ok()) {
+        return built.status();
+    }
+    server = *std::move(built);
+    return server->start();
+}
+
+absl::Status entry_parts::start()
+{
+    if (!m_settings.callers || !m_settings.readiness) {
+        return make_error(error_code::invalid_settings,
+                          "an entry process needs the settings callers and readiness");
+    }
+    m_client.start();
+    m_decisions = std::thread{[this] {
+        m_loop.run({[this](base::time_point now) {
+                        m_link.tick(now);
+                        m_is_connected = m_link.is_connected(now);
+                    },
+                    [](base::time_point) {}});
+    }};
+    const settings::endpoint internal{m_settings.address, entry_port(m_settings)};
+    auto status = listen(internal, caller_body_bytes,
+                         [this](const callers::http_request& request,
+                                const callers::reply& reply) { on_internal(request, reply); },
+                         m_internal);
+    if (status.ok()) {
+        status = listen(*m_settings.callers, caller_body_bytes,
+                        [this](callers::http_request request, const callers::reply& reply) {
+                            on_caller(std::move(request), reply);
+                        },
+                        m_callers);
+    }
+    if (status.ok()) {
+        status = listen(*m_settings.readiness, caller_body_bytes,
+                        [this](const callers::http_request& request,
+                               const callers::reply& reply) { on_readiness(request, reply); },
+                        m_readiness);
+    }
+    return status;
+}
+
+void entry_parts::stop()
+{
+    if (m_is_stopping.exchange(true)) {
+        return;
+    }
+    std::this_thread::sleep_for(unready_time);
+    std::promise<bool> drained;
+    m_callers->drain(m_settings.grace - unready_time - stop_margin,
+                     [&drained](callers::drain_result result) {
+                         log_event{severity::info, "drained"}
+                             .with("complete", result.complete)
+                             .with("cut", result.requests_cut)
+                             .write();
+                         drained.set_value(result.complete);
+                     });
+    drained.get_future().get();
+    stop_threads();
+}
+
+void entry_parts::stop_threads()
+{
+    for (auto* server : {&m_callers, &m_readiness, &m_internal}) {
+        if (*server) {
+            (*server)->stop();
+        }
+    }
+    m_client.stop();
+    m_loop.stop();
+    if (m_decisions.joinable()) {
+        m_decisions.join();
+    }
+}
+
+void entry_parts::on_readiness(const callers::http_request& request, const callers::reply& reply)
+{
+    const bool is_ready = m_is_connected && !m_is_stopping;
+    if (request.path() != m_headers.readiness_path) {
+        reply(callers::error_response(404, error_code::not_found, "no such call"));
+        return;
+    }
+    callers::http_response response;
+    response.status = is_ready ? 200 : status_unavailable;
+    response.body = "{}";
+    reply(std::move(response));
+}
+
+void entry_parts::on_internal(const callers::http_request& request, const callers::reply& reply)
+{
+    pb::AdviceRequest asked;
+    if (request.path() != advice_path || !asked.ParseFromString(request.body)) {
+        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
+        return;
+    }
+    std::vector<base::worker_id> workers;
+    for (const auto& worker : asked.workers()) {
+        workers.emplace_back(worker);
+    }
+    m_advice.ask({jobs::job_number{asked.job()}, asked.occurrence(), asked.step()}, workers,
+                 std::chrono::milliseconds{asked.timeout_ms()},
+                 [reply](const advice_port::rows& rows) {
+                     pb::AdviceAnswer answer;
+                     answer.set_answered(rows.has_value());
+                     if (rows) {
+                         for (const auto& row : *rows) {
+                             auto& out = *answer.add_rows();
+                             out.set_worker(row.worker.str());
+                             out.set_ticket(row.ticket);
+                         }
+                     }
+                     callers::http_response response;
+                     response.content_type = "application/octet-stream";
+                     response.body = answer.SerializeAsString();
+                     reply(std::move(response));
+                 });
+}
+
+void entry_parts::on_caller(callers::http_request request, const callers::reply& reply)
+{
+    auto call = std::make_shared<pb::CallerCall>();
+    call->set_method(request.method);
+    call->set_host(host_of(request));
+    call->set_path(std::string{request.path()});
+    call->set_entry(m_settings.address);
+    const auto authorization = request.header("Authorization").value_or("");
+    if (authorization.starts_with(m_headers.key_prefix)) {
+        call->set_key(std::string{authorization.substr(m_headers.key_prefix.size())});
+    }
+    const auto patience = deadline_of(request, m_headers.deadline);
+    call->set_body(std::move(request.body));
+    const auto pass = [this, call, reply, patience](base::time_point now) {
+        m_link.pass(now, *call, now + patience,
+                    [reply, call](const leader_link::outcome& outcome) {
+                        answer(outcome, reply, *call);
+                    });
+    };
+    if (!m_loop.try_post(pass)) {
+        log_event{severity::warning, "request_refused"}
+            .with("path", call->path())
+            .with("why", "too many requests wait")
+            .write();
+        callers::http_response response;
+        response.status = status_unavailable;
+        response.headers.push_back({"Retry-After", "1"});
+        reply(std::move(response));
+    }
+}
+
+void entry_parts::answer(const leader_link::outcome& outcome, const callers::reply& reply,
+                         const pb::CallerCall& call)
+{
+    callers::http_response response;
+    std::int64_t retry_after_ms = 0;
+    if (outcome.how == leader_link::outcome::kind::answered) {
+        response.status = outcome.answer.status();
+        response.body = outcome.answer.body();
+        retry_after_ms = outcome.answer.retry_after_ms();
+    }
+    else {
+        const bool is_unknown = outcome.how == leader_link::outcome::kind::unknown;
+        response.status = is_unknown ? status_gateway_timeout : status_unavailable;
+        response.body = "{}";
+        retry_after_ms = is_unknown ? 0 : leaderless_retry.count();
+        log_event{severity::warning, "request_not_passed"}
+            .with("method", call.method())
+            .with("path", call.path())
+            .with("outcome", is_unknown ? "unknown" : "not_run")
+            .write();
+    }
+    if (retry_after_ms > 0) {
+        const auto seconds = (retry_after_ms + 999) / 1'000;
+        response.headers.push_back({"Retry-After", std::to_string(seconds)});
+    }
+    reply(std::move(response));
+}
+
+} // namespace
+
+absl::StatusOr<std::unique_ptr<entry_host>> entry_host::create(parts given)
+{
+    return std::unique_ptr<entry_host>{std::make_unique<entry_parts>(std::move(given))};
+}
+
+} // namespace lovagebeam::controlplane
--- a/src/daemon/decision_loop.cpp
+++ b/src/daemon/decision_loop.cpp
@@ -12,7 +12,7 @@
 
 } // namespace
 
-decision_loop::decision_loop() : m_ring{ring_capacity} {}
+decision_loop::decision_loop(clock now) : m_now{now}, m_ring{ring_capacity} {}
 
 bool decision_loop::try_post(task&& work)
 {
@@ -37,10 +37,10 @@
         run_batch(next_tick);
         const auto now = std::chrono::steady_clock::now();
         if (now >= next_tick) {
-            what.tick(now);
+            what.tick(m_now());
             next_tick = now + tick_interval;
         }
-        what.after_batch(std::chrono::steady_clock::now());
+        what.after_batch(m_now());
     }
 }
 
@@ -48,7 +48,7 @@
 {
     auto next = m_ring.pop_until(next_tick);
     for (std::size_t count = 0; next && count < batch_limit; ++count) {
-        (*next)(std::chrono::steady_clock::now());
+        (*next)(m_now());
         next = count + 1 < batch_limit ? m_ring.try_pop() : std::nullopt;
     }
 }
--- a/src/daemon/decision_loop.h
+++ b/src/daemon/decision_loop.h
@@ -22,7 +22,10 @@
         task after_batch;
     };
 
-    decision_loop();
+    /// Gives the time that tasks get.
+    using clock = base::time_point (*)();
+
+    explicit decision_loop(clock now = &std::chrono::steady_clock::now);
 
     /// Hands over new work. Returns false, with the task unchanged, when the ring is half full:
     /// the other half is kept for completions of work that was already accepted. Thread-safe.
@@ -39,8 +42,10 @@
     void stop();
 
 private:
+    /// Waits for tasks until `next_tick` on the steady clock.
     void run_batch(base::time_point next_tick);
 
+    clock m_now;
     base::bounded_ring<task> m_ring;
     std::atomic<bool> m_stopping = false;
 };
--- a/src/daemon/log_storage.cpp
+++ b/src/daemon/log_storage.cpp
@@ -104,9 +104,10 @@
     return absl::OkStatus();
 }
 
-absl::StatusOr<opened_log> build(consensus::replica_builder builder, opened_log out)
+absl::StatusOr<opened_log> build(consensus::replica_builder builder, opened_log out,
+                                 base::time_point now)
 {
-    auto replica = builder.build(std::chrono::steady_clock::now());
+    auto replica = builder.build(now);
     if (!replica.ok()) {
         return replica.status();
     }
@@ -115,7 +116,8 @@
 }
 
 absl::StatusOr<opened_log> open_voter(const settings::daemon_settings& settings,
-                                      storage::file_system& files, std::uint64_t run)
+                                      storage::file_system& files, std::uint64_t run,
+                                      base::time_point now)
 {
     auto found = open_store(settings, files, random_incarnation());
     if (!found.ok()) {
@@ -144,22 +146,23 @@
         .entries(std::move(found->entries))
         .random(base::random_source{run});
     out.store = std::move(found->store);
-    return build(std::move(builder), std::move(out));
+    return build(std::move(builder), std::move(out), now);
 }
 
 } // namespace
 
 absl::StatusOr<opened_log> open_log(const settings::daemon_settings& settings,
-                                    storage::file_system& files, std::uint64_t run)
+                                    storage::file_system& files, std::uint64_t run,
+                                    base::time_point now)
 {
     if (!settings.data_folder.empty()) {
-        return open_voter(settings, files, run);
+        return open_voter(settings, files, run, now);
     }
     opened_log out;
     out.identity = {settings.node, random_incarnation()};
     consensus::replica_builder builder{out.identity};
     builder.durable(false).random(base::random_source{run});
-    return build(std::move(builder), std::move(out));
+    return build(std::move(builder), std::move(out), now);
 }
 
 absl::Status init_group(const settings::daemon_settings& settings, storage::file_system& files)
--- a/src/daemon/log_storage.h
+++ b/src/daemon/log_storage.h
@@ -11,6 +11,7 @@
 
 #include <absl/status/statusor.h>
 
+#include <chrono>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -28,9 +29,11 @@
     std::unique_ptr<storage::log_store> store;
 };
 
-/// Opens the data folder of a voter, or builds a learner's empty replica. `run` seeds the replica.
+/// Opens the data folder of a voter, or builds a learner's empty replica. `run` seeds the replica,
+/// which starts at `now` of the clock that it is driven with.
 absl::StatusOr<opened_log> open_log(const settings::daemon_settings& settings,
-                                    storage::file_system& files, std::uint64_t run);
+                                    storage::file_system& files, std::uint64_t run,
+                                    base::time_point now = std::chrono::steady_clock::now());
 
 /// Makes the empty data folder of this host that of one of the first voters of a new group. Fails
 /// with `already_exists` when the folder is in use by a group.
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -60,6 +60,13 @@
     }
 }
 
+void peer_links::update_peers(std::vector<peers::peer_address> peers)
+{
+    if (m_network.ok()) {
+        (*m_network)->update_peers(std::move(peers));
+    }
+}
+
 peers::network_counters peer_links::counters() const
 {
     return m_network.ok() ? (*m_network)->counters() : peers::network_counters{};
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -13,6 +13,7 @@
 #include <functional>
 #include <memory>
 #include <string>
+#include <vector>
 
 namespace lovagebeam::daemon {
 
@@ -37,6 +38,9 @@
 
     void send(const base::node_id& to, peers::channel which, std::string bytes) override;
 
+    /// Replaces the hosts that this one dials and accepts connections from.
+    void update_peers(std::vector<peers::peer_address> peers);
+
     [[nodiscard]] peers::network_counters counters() const;
 
 private:
--- a/src/daemon/replication.cpp
+++ b/src/daemon/replication.cpp
@@ -166,6 +166,11 @@
     if (accepted.term == entry.term) {
         finish(accepted.tag, result);
     }
+    else if (const auto pending = m_proposals.find(accepted.tag);
+             pending != m_proposals.end() && pending->second.is_bound) {
+        finish(accepted.tag,
+               make_error(error_code::not_leader, "another leader's entry took its place"));
+    }
 }
 
 void replication::finish(consensus::request_tag tag, absl::StatusOr<state::apply_result> result)
@@ -190,7 +195,8 @@
     // A host's own proposal stays and is sent to the next leader; the sender of a remote one does
     // the same there.
     if (found != m_proposals.end() &&
-        (found->second.is_remote || base::has_code(rejected.reason, error_code::invalid_request))) {
+        (found->second.is_remote || found->second.is_bound ||
+         base::has_code(rejected.reason, error_code::invalid_request))) {
         finish(rejected.tag, rejected.reason);
     }
 }
@@ -205,6 +211,21 @@
     submit(now, tag, entry->second);
 }
 
+void replication::propose_as_leader(base::time_point now, state::command body,
+                                    base::time_point deadline, propose_done done)
+{
+    if (!is_leader()) {
+        done(make_error(error_code::not_leader, "this host doesn't lead"));
+        return;
+    }
+    const auto tag = next_tag();
+    pending_proposal pending{state::encode_command(std::move(body), wall_now()), deadline, now,
+                             std::move(done)};
+    pending.is_bound = true;
+    m_local_proposals.push_back({tag, std::exchange(pending.command, {})});
+    m_proposals.emplace(tag, std::move(pending));
+}
+
 void replication::submit(base::time_point now, consensus::request_tag tag,
                          pending_proposal& pending)
 {
@@ -356,7 +377,7 @@
 void replication::send_again(base::time_point now)
 {
     for (auto& [tag, pending] : m_proposals) {
-        if (!pending.is_remote && now - pending.sent >= resend_interval) {
+        if (!pending.is_remote && !pending.is_bound && now - pending.sent >= resend_interval) {
             submit(now, tag, pending);
         }
     }
--- a/src/daemon/replication.h
+++ b/src/daemon/replication.h
@@ -75,6 +75,12 @@
     void propose(base::time_point now, state::command body, base::time_point deadline,
                  propose_done done);
 
+    /// Commits `body` only if this host leads and goes on leading in the same term; it is never
+    /// handed to another leader. `done` gets `not_leader` or `queue_full` when it was refused and
+    /// will never be applied, and `timed_out` when that isn't known.
+    void propose_as_leader(base::time_point now, state::command body, base::time_point deadline,
+                           propose_done done);
+
     /// Calls `done` once the local state holds everything that was committed before this call.
     void read(base::time_point now, base::time_point deadline, read_done done);
 
@@ -103,6 +109,8 @@
         propose_done done;
         /// Set for a proposal that another host sent here.
         bool is_remote = false;
+        /// Set for a proposal that only this leadership may commit.
+        bool is_bound = false;
     };
     struct pending_read {
         base::time_point deadline;
--- /dev/null
+++ b/src/jobs/advice_desk.cpp
@@ -0,0 +1,165 @@
+#include "lovagebeam/jobs/advice_desk.h"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace lovagebeam::jobs {
+
+void advice_desk::on_agent(base::time_point now, const base::node_id& agent)
+{
+    m_agents[agent].heard = now;
+}
+
+void advice_desk::ask(const step_key& step, const advice_policy& policy,
+                      std::vector<base::worker_id> workers,
+                      std::pair<std::uint32_t, std::int64_t> rank)
+{
+    auto& known = m_steps[step];
+    if (known.is_asking || workers.empty()) {
+        return;
+    }
+    known.is_asking = true;
+    if (workers.size() > m_settings.workers_per_call) {
+        workers.resize(m_settings.workers_per_call);
+    }
+    call next;
+    next.step = step;
+    next.expected =
+        policy.decision + std::chrono::duration_cast<milliseconds>(
+                              policy.per_worker * static_cast<std::int64_t>(workers.size()));
+    next.validity = policy.ticket_validity;
+    next.workers = std::move(workers);
+    m_waiting.emplace(queue_rank{rank, ++m_last_id}, std::move(next));
+}
+
+advice_desk::agent_state* advice_desk::idle_agent(base::time_point now, bool is_long,
+                                                  const base::node_id*& name)
+{
+    agent_state* idle = nullptr;
+    std::size_t alive = 0;
+    std::size_t idle_count = 0;
+    for (auto& [id, agent] : m_agents) {
+        if (now - agent.heard >= m_settings.agent_silence) {
+            continue;
+        }
+        ++alive;
+        if (agent.call == 0 && now >= agent.paused_until) {
+            ++idle_count;
+            idle = &agent;
+            name = &id;
+        }
+    }
+    const auto reserved = std::max<std::size_t>(
+        1, static_cast<std::size_t>(std::lround(static_cast<double>(alive) *
+                                                m_settings.reserved_fraction)));
+    const bool is_kept_free = is_long && alive > 1 && idle_count <= reserved;
+    return is_kept_free ? nullptr : idle;
+}
+
+std::vector<advice_order> advice_desk::take(base::time_point now)
+{
+    for (auto entry = m_calls.begin(); entry != m_calls.end();) {
+        const auto current = entry++;
+        if (now >= current->second.give_up) {
+            m_agents[current->second.agent].paused_until = now + m_settings.patience;
+            end_call(current);
+        }
+    }
+    std::vector<advice_order> out;
+    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        const base::node_id* name = nullptr;
+        auto* const agent =
+            idle_agent(now, waiting->second.expected > m_settings.long_call, name);
+        if (agent == nullptr) {
+            ++waiting;
+            continue;
+        }
+        const auto id = waiting->first.second;
+        call next = std::move(waiting->second);
+        waiting = m_waiting.erase(waiting);
+        agent->call = id;
+        next.agent = *name;
+        next.give_up = now + next.expected + m_settings.patience;
+        out.push_back({id, *name, next.step, next.workers, next.expected});
+        m_calls.emplace(id, std::move(next));
+    }
+    return out;
+}
+
+void advice_desk::end_call(std::map<std::uint64_t, call>::iterator which)
+{
+    if (auto& agent = m_agents[which->second.agent]; agent.call == which->first) {
+        agent.call = 0;
+    }
+    if (const auto known = m_steps.find(which->second.step); known != m_steps.end()) {
+        known->second.is_asking = false;
+    }
+    m_calls.erase(which);
+}
+
+std::optional<step_key>
+advice_desk::on_answer(base::time_point now, std::uint64_t id,
+                       const std::optional<std::vector<advice_row>>& rows)
+{
+    const auto found = m_calls.find(id);
+    if (found == m_calls.end()) {
+        return std::nullopt;
+    }
+    const call ended = found->second;
+    end_call(found);
+    const auto known = m_steps.find(ended.step);
+    if (!rows) {
+        m_agents[ended.agent].paused_until = now + m_settings.patience / 2;
+    }
+    else if (known != m_steps.end()) {
+        for (const auto& worker : ended.workers) {
+            known->second.refused.insert(worker);
+        }
+        for (const auto& row : *rows) {
+            known->second.refused.erase(row.worker);
+            known->second.allowed[row.worker] = {row.ticket, now + ended.validity};
+        }
+    }
+    return ended.step;
+}
+
+const advice_desk::knowledge* advice_desk::find(const step_key& step) const
+{
+    const auto found = m_steps.find(step);
+    return found == m_steps.end() ? nullptr : &found->second;
+}
+
+const advice_desk::ticket* advice_desk::valid_ticket(base::time_point now, const step_key& step,
+                                                     const base::worker_id& worker) const
+{
+    const auto* const known = find(step);
+    if (known == nullptr) {
+        return nullptr;
+    }
+    const auto found = known->allowed.find(worker);
+    return found == known->allowed.end() ||
+                   found->second.valid_until <= now + m_settings.ticket_margin
+               ? nullptr
+               : &found->second;
+}
+
+void advice_desk::drop_ticket(const step_key& step, const base::worker_id& worker)
+{
+    if (const auto known = m_steps.find(step); known != m_steps.end()) {
+        if (const auto found = known->second.allowed.find(worker);
+            found != known->second.allowed.end()) {
+            found->second.valid_until = base::time_point{};
+        }
+    }
+}
+
+void advice_desk::forget(const step_key& step)
+{
+    if (const auto known = m_steps.find(step);
+        known != m_steps.end() && !known->second.is_asking) {
+        m_steps.erase(known);
+    }
+}
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/src/jobs/coordinator.cpp
@@ -0,0 +1,398 @@
+#include "lovagebeam/jobs/coordinator.h"
+
+#include "text.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagebeam::jobs {
+namespace {
+
+namespace pb = proto::jobs;
+
+pb::EndKind to_proto(end_kind kind)
+{
+    return static_cast<pb::EndKind>(static_cast<int>(kind) + 1);
+}
+
+end_kind from_proto(pb::EndKind kind)
+{
+    return static_cast<end_kind>(static_cast<int>(kind) - 1);
+}
+
+/// Ends of runs that never began; the next attempt waits a little.
+bool never_began(pb::EndKind how)
+{
+    return how == pb::END_KIND_NOT_STARTED || how == pb::END_KIND_ALONE;
+}
+
+} // namespace
+
+coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
+                         base::time_point now, base::wall_time wall)
+    : m_settings{settings}, m_ledger{records}, m_token{token},
+      m_workers{settings.workers, records, token, now}, m_advice{settings.advice},
+      m_last_forget{now}
+{
+    for (const auto id : records.open_jobs()) {
+        const auto& job = *records.find(id);
+        if (is_final(job.state)) {
+            continue;
+        }
+        add_ready_steps(job);
+    }
+    add_due_steps(wall);
+}
+
+coordinator::~coordinator() = default;
+
+void coordinator::on_catalog(std::shared_ptr<const catalog> catalog)
+{
+    m_catalog = std::move(catalog);
+    m_is_dirty = true;
+}
+
+void coordinator::on_agent(base::time_point now, const base::node_id& agent)
+{
+    m_advice.on_agent(now, agent);
+}
+
+void coordinator::on_submission(base::time_point now, const job_spec& spec)
+{
+    const auto* const policy = advice_for(spec);
+    if (policy == nullptr || spec.occurrences != 0 || m_ledger.find(spec.id) != nullptr) {
+        return;
+    }
+    list_candidates(now);
+    for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
+        if (spec.steps[step].depends_on.empty()) {
+            ask_about(now, {spec.id, 0, step}, spec, pool_of(spec), *policy, base::wall_time{});
+        }
+    }
+}
+
+void coordinator::on_clock(base::time_point now, const base::worker_id& worker, worker_time clock)
+{
+    m_workers.on_clock(now, worker, clock);
+}
+
+void coordinator::on_start_answer(base::time_point now, const run_key& run,
+                                  const base::worker_id& worker, start_outcome outcome)
+{
+    if (outcome == start_outcome::no_ticket) {
+        m_advice.drop_ticket(step_of(run.task), worker);
+    }
+    m_workers.on_start_answer(now, run, worker, outcome);
+}
+
+void coordinator::on_stop_done(base::time_point now, const run_key& run,
+                               const base::worker_id& worker)
+{
+    m_workers.on_stop_done(now, run, worker);
+}
+
+void coordinator::on_hold_done(base::time_point now, base::time_point sent,
+                               const worker_address& to, hold_outcome outcome,
+                               const hold_answer& answer)
+{
+    const bool was_usable = m_workers.is_usable(now, to.worker);
+    m_workers.on_hold_done(now, sent, to, outcome, answer);
+    m_is_dirty |= was_usable != m_workers.is_usable(now, to.worker);
+}
+
+void coordinator::on_advice(base::time_point now, std::uint64_t id,
+                            const std::optional<std::vector<advice_row>>& rows)
+{
+    const auto step = m_advice.on_answer(now, id, rows);
+    m_is_dirty = true;
+    if (step) {
+        m_out.notes.push_back({"advice_answered", step->job,
+                               absl::StrCat("step=", step->step, " allowed=",
+                                            rows ? static_cast<int>(rows->size()) : -1)});
+    }
+}
+
+void coordinator::on_applied(base::time_point now, const pb::Batch& batch)
+{
+    for (const auto& operation : batch.operations()) {
+        switch (operation.body_case()) {
+        case pb::Operation::kAccept:
+            if (const auto* const job =
+                    m_ledger.find(job_number{operation.accept().spec().id()})) {
+                add_ready_steps(*job);
+            }
+            break;
+        case pb::Operation::kCancel:
+            if (const auto* const job = m_ledger.find(job_number{operation.cancel().job()})) {
+                remove_job(*job);
+                stop_job(now, *job);
+            }
+            break;
+        case pb::Operation::kPlace:
+            on_placed(now, operation.place());
+            break;
+        case pb::Operation::kEnd:
+            on_ended(now, operation.end());
+            break;
+        case pb::Operation::kPutWorker:
+            m_workers.on_worker(now, jobs::from_proto(operation.put_worker().worker()));
+            break;
+        case pb::Operation::kRemoveWorker:
+            m_workers.on_worker_removed(base::worker_id{operation.remove_worker().id()});
+            break;
+        default:
+            break;
+        }
+    }
+    m_is_dirty = true;
+}
+
+void coordinator::on_batch_committed(std::uint64_t id)
+{
+    const auto found = m_batch_cursors.find(id);
+    if (found == m_batch_cursors.end()) {
+        return;
+    }
+    for (const auto& move : found->second) {
+        m_workers.on_cursor_committed(move);
+    }
+    m_batch_cursors.erase(found);
+}
+
+void coordinator::add_ready_steps(const job_record& job)
+{
+    if (is_final(job.state)) {
+        return;
+    }
+    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const auto& record = job.step(run, step);
+            if (record.undone == 0 || !job.is_ready(run, step)) {
+                continue;
+            }
+            const step_key key{job.spec.id, run, step};
+            if (job.spec.occurrences > 0 && record.placed == 0 && !m_ready.contains(key)) {
+                m_later.emplace(job.spec.due(run), key);
+            }
+            else {
+                add_ready_step(job, key);
+            }
+        }
+    }
+}
+
+void coordinator::add_ready_step(const job_record& job, const step_key& key)
+{
+    const auto from = job.spec.occurrences > 0 ? job.spec.due(key.occurrence) : job.accepted;
+    ready_step ready;
+    ready.is_gang = job.spec.steps[key.step].gang;
+    ready.priority = job.spec.priority;
+    ready.due_by = objective_end(job.spec, from, 1);
+    ready.hopeless = objective_end(job.spec, from, m_settings.planner.hopeless_objectives);
+    m_ready.emplace(key, ready);
+}
+
+void coordinator::add_due_steps(base::wall_time wall)
+{
+    while (!m_later.empty() &&
+           m_later.begin()->first + m_settings.planner.due_margin <= wall) {
+        const auto key = m_later.begin()->second;
+        m_later.erase(m_later.begin());
+        const auto* const job = m_ledger.find(key.job);
+        if (job != nullptr && !is_final(job->state)) {
+            add_ready_step(*job, key);
+            m_is_dirty = true;
+        }
+    }
+}
+
+void coordinator::remove_job(const job_record& job)
+{
+    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const step_key key{job.spec.id, run, step};
+            m_ready.erase(key);
+            m_avoided.erase(key);
+            release_reservation(key);
+            m_advice.forget(key);
+        }
+    }
+    std::erase_if(m_later, [&](const auto& entry) { return entry.second.job == job.spec.id; });
+}
+
+void coordinator::stop_job(base::time_point now, const job_record& job)
+{
+    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            stop_gang(now, job, {job.spec.id, run, step});
+        }
+    }
+}
+
+void coordinator::stop_gang(base::time_point now, const job_record& job, const step_key& key)
+{
+    const auto& tasks = job.step(key.occurrence, key.step).tasks;
+    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+        if (tasks[index].placed && !tasks[index].done) {
+            m_workers.stop(now, {{key.job, key.occurrence, key.step, index}, tasks[index].attempt});
+        }
+    }
+}
+
+void coordinator::on_placed(base::time_point now, const pb::PlaceTasks& operation)
+{
+    for (const auto& placement : operation.placements()) {
+        const auto run = jobs::from_proto(placement.task());
+        unplan(run.task);
+        const auto* const task = m_ledger.find(run.task);
+        const auto* const job = m_ledger.find(run.task.job);
+        if (job == nullptr || is_final(job->state)) {
+            continue;
+        }
+        if (task->placed && task->attempt == run.attempt) {
+            send_start(now, run);
+        }
+        else {
+            add_ready_step(*job, step_of(run.task));
+        }
+    }
+}
+
+void coordinator::send_start(base::time_point now, const run_key& run)
+{
+    const auto& job = *m_ledger.find(run.task.job);
+    const auto& task = *m_ledger.find(run.task);
+    start_order order;
+    if (advice_for(job.spec) != nullptr) {
+        const auto* const known = m_advice.find(step_of(run.task));
+        const auto ticket = known == nullptr ? decltype(known->allowed.end()){}
+                                             : known->allowed.find(task.worker);
+        if (known != nullptr && ticket != known->allowed.end()) {
+            order.ticket = ticket->second.text;
+        }
+    }
+    const auto deadline = m_workers.on_start_sent(now, run);
+    const auto address = m_workers.address_of(task.worker);
+    if (!deadline || !address) {
+        return;
+    }
+    order.to = *address;
+    order.run = run;
+    order.payload = job.spec.payload;
+    order.checkpoint = task.checkpoint;
+    order.deadline = *deadline;
+    order.token = m_token;
+    m_out.starts.push_back(std::move(order));
+}
+
+void coordinator::on_ended(base::time_point now, const pb::EndTask& operation)
+{
+    const auto run = jobs::from_proto(operation.task());
+    const base::worker_id worker{operation.worker()};
+    m_workers.on_end_applied(run, worker);
+    const auto* const job = m_ledger.find(run.task.job);
+    if (job == nullptr) {
+        return;
+    }
+    m_out.notes.push_back(
+        {"run_ended", run.task.job,
+         absl::StrCat("run=", text_of(run), " worker=", worker.str(), " how=",
+                      std::string{name_of(from_proto(operation.how()))},
+                      " state=", std::string{name_of(job->state)})});
+    if (is_final(job->state)) {
+        remove_job(*job);
+        stop_job(now, *job);
+        return;
+    }
+    const auto& step = job->step(run.task.occurrence, run.task.step);
+    if (step.undone == 0) {
+        m_advice.forget(step_of(run.task));
+        add_ready_steps(*job);
+    }
+    else if (!step.tasks[run.task.index].done) {
+        on_not_done(now, *job, run, worker, operation.how());
+    }
+}
+
+void coordinator::on_not_done(base::time_point now, const job_record& job, const run_key& run,
+                              const base::worker_id& worker, pb::EndKind how)
+{
+    const auto key = step_of(run.task);
+    if (how == pb::END_KIND_FAILED || how == pb::END_KIND_STOPPED) {
+        m_avoided[key].insert(worker);
+    }
+    if (job.spec.steps[key.step].gang) {
+        stop_gang(now, job, key);
+    }
+    add_ready_step(job, key);
+    auto& ready = m_ready.at(key);
+    if (never_began(how)) {
+        const auto pause =
+            std::min(m_settings.planner.retry_max,
+                     m_settings.planner.retry_first * (1 << std::min(ready.refusals, 6U)));
+        ++ready.refusals;
+        ready.not_before = now + pause;
+    }
+}
+
+void coordinator::collect_worker_output()
+{
+    auto found = m_workers.take();
+    for (auto& end : found.ends) {
+        auto& operation = *add_operation().mutable_end();
+        *operation.mutable_task() = jobs::to_proto(end.run);
+        operation.set_worker(end.worker.str());
+        operation.set_how(to_proto(end.how));
+        operation.set_checkpoint(std::move(end.checkpoint));
+    }
+    // A cursor moves only after the ends before it are committed, those of this batch included.
+    m_cursors.insert(m_cursors.end(), found.cursors.begin(), found.cursors.end());
+    std::ranges::move(found.holds, std::back_inserter(m_out.holds));
+    std::ranges::move(found.stops, std::back_inserter(m_out.stops));
+    std::ranges::move(found.notes, std::back_inserter(m_out.notes));
+}
+
+void coordinator::tick(base::time_point now, base::wall_time wall)
+{
+    m_workers.tick(now);
+    add_due_steps(wall);
+    std::vector<step_key> expired;
+    for (const auto& [key, reserved] : m_reserved) {
+        if (reserved.until <= now) {
+            expired.push_back(key);
+        }
+    }
+    for (const auto& key : expired) {
+        release_reservation(key);
+        m_is_dirty = true;
+    }
+    if (now - m_last_forget >= m_settings.planner.forget_interval) {
+        m_last_forget = now;
+        m_is_dirty = true;
+        m_advice.forget_unless(
+            [this](job_number id) { return m_ledger.open_jobs().contains(id); });
+        const auto before = wall - m_settings.planner.retention;
+        add_operation().mutable_forget()->set_ended_before_ms(before.time_since_epoch().count());
+    }
+}
+
+coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
+{
+    collect_worker_output();
+    if (m_is_dirty) {
+        m_is_dirty = false;
+        plan(now, wall);
+    }
+    m_out.advice = m_advice.take(now);
+    if (m_batch.operations_size() > 0 || !m_cursors.empty()) {
+        const auto id = ++m_last_batch;
+        m_batch.set_time_ms(wall.time_since_epoch().count());
+        m_out.batches.emplace_back(id, std::exchange(m_batch, {}));
+        m_batch_cursors.emplace(id, std::exchange(m_cursors, {}));
+    }
+    return std::exchange(m_out, {});
+}
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/src/jobs/ledger.cpp
@@ -0,0 +1,346 @@
+#include "lovagebeam/jobs/ledger.h"
+
+#include "lovagebeam/base/errors.h"
+
+#include <xxhash.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagebeam::jobs {
+namespace {
+
+namespace pb = proto::jobs;
+
+using base::error_code;
+using base::make_error;
+
+base::wall_time from_ms(std::int64_t ms)
+{
+    return base::wall_time{milliseconds{ms}};
+}
+
+end_kind from_proto(pb::EndKind kind)
+{
+    // The values follow each other in the same order, after the unspecified one.
+    return static_cast<end_kind>(static_cast<int>(kind) - 1);
+}
+
+/// Finds the record of `key`, or nullptr when the job has no such task. `Job` may be const.
+template <class Job>
+auto find_task(Job& job, const task_key& key) -> decltype(job.steps.front().tasks.data())
+{
+    if (key.occurrence >= job.spec.runs() || key.step >= job.spec.steps.size()) {
+        return nullptr;
+    }
+    auto& tasks = job.step(key.occurrence, key.step).tasks;
+    return key.index < tasks.size() ? &tasks[key.index] : nullptr;
+}
+
+} // namespace
+
+size booked_size(const step_spec& step)
+{
+    // Memory stays booked for a task that fills unused processors.
+    return step.fills ? jobs::size{0, step.size.memory_mb, step.size.accelerators} : step.size;
+}
+
+bool job_record::is_ready(std::uint32_t occurrence, std::uint32_t number) const
+{
+    return std::ranges::all_of(spec.steps[number].depends_on, [&](std::uint32_t earlier) {
+        return step(occurrence, earlier).undone == 0;
+    });
+}
+
+absl::Status ledger::apply(std::string_view bytes)
+{
+    pb::Batch batch;
+    if (!batch.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return make_error(error_code::invalid_request, "not a batch of job operations");
+    }
+    for (const auto& operation : batch.operations()) {
+        apply_one(operation, from_ms(batch.time_ms()));
+    }
+    m_history = XXH3_64bits_withSeed(bytes.data(), bytes.size(), m_history);
+    return absl::OkStatus();
+}
+
+void ledger::apply_one(const pb::Operation& operation, base::wall_time now)
+{
+    switch (operation.body_case()) {
+    case pb::Operation::kAccept:
+        return apply(operation.accept());
+    case pb::Operation::kCancel:
+        return apply(operation.cancel(), now);
+    case pb::Operation::kPlace:
+        return apply(operation.place());
+    case pb::Operation::kEnd:
+        return apply(operation.end(), now);
+    case pb::Operation::kPutWorker: {
+        auto info = jobs::from_proto(operation.put_worker().worker());
+        auto id = info.id;
+        m_workers.insert_or_assign(std::move(id), std::move(info));
+        return;
+    }
+    case pb::Operation::kRemoveWorker:
+        m_workers.erase(base::worker_id{operation.remove_worker().id()});
+        return;
+    case pb::Operation::kPutCatalog:
+        if (operation.put_catalog().version() > m_catalog_version) {
+            m_catalog_version = operation.put_catalog().version();
+            m_catalog = operation.put_catalog().document();
+        }
+        return;
+    case pb::Operation::kForget:
+        return apply(operation.forget());
+    case pb::Operation::BODY_NOT_SET:
+        return;
+    }
+}
+
+void ledger::apply(const pb::AcceptJob& operation)
+{
+    job_record job;
+    job.spec = jobs::from_proto(operation.spec());
+    job.accepted = from_ms(operation.accepted_ms());
+    if (m_jobs.contains(job.spec.id)) {
+        return;
+    }
+    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
+        for (const auto& step : job.spec.steps) {
+            step_record record;
+            record.tasks.resize(step.tasks);
+            record.undone = step.tasks;
+            job.steps.push_back(std::move(record));
+        }
+    }
+    const auto id = job.spec.id;
+    index(m_jobs.emplace(id, std::move(job)).first->second);
+}
+
+void ledger::index(job_record& job)
+{
+    if (!is_final(job.state) || job.placed > 0) {
+        m_open.insert(job.spec.id);
+    }
+    if (!job.was_placed && !is_final(job.state) && job.spec.occurrences == 0) {
+        ++m_pending[job.spec.queue];
+    }
+}
+
+void ledger::apply(const pb::CancelJob& operation, base::wall_time now)
+{
+    const auto found = m_jobs.find(job_number{operation.job()});
+    if (found != m_jobs.end()) {
+        finish(found->second, job_state::cancelled, now);
+    }
+}
+
+void ledger::finish(job_record& job, job_state state, base::wall_time now)
+{
+    if (is_final(job.state)) {
+        return;
+    }
+    if (!job.was_placed && job.spec.occurrences == 0) {
+        --m_pending[job.spec.queue];
+    }
+    job.state = state;
+    job.ended = now;
+    job.spec.payload.clear();
+    job.spec.payload.shrink_to_fit();
+    close_if_released(job);
+}
+
+void ledger::close_if_released(job_record& job)
+{
+    if (is_final(job.state) && job.placed == 0) {
+        m_open.erase(job.spec.id);
+    }
+}
+
+bool ledger::may_place(const pb::PlaceTasks& operation) const
+{
+    return std::ranges::all_of(operation.placements(), [this](const pb::Placement& placement) {
+        const auto run = jobs::from_proto(placement.task());
+        const auto found = m_jobs.find(run.task.job);
+        const auto* const task = find(run.task);
+        return task != nullptr && !task->placed && !task->done && run.attempt > task->attempt &&
+               !is_final(found->second.state) &&
+               found->second.is_ready(run.task.occurrence, run.task.step);
+    });
+}
+
+void ledger::apply(const pb::PlaceTasks& operation)
+{
+    if (!may_place(operation)) {
+        return;
+    }
+    for (const auto& placement : operation.placements()) {
+        place(placement);
+    }
+}
+
+void ledger::place(const pb::Placement& placement)
+{
+    const auto run = jobs::from_proto(placement.task());
+    auto& job = m_jobs.at(run.task.job);
+    auto& step = job.step(run.task.occurrence, run.task.step);
+    auto& task = step.tasks[run.task.index];
+    if (task.placed) {
+        return;
+    }
+    task.placed = true;
+    task.attempt = run.attempt;
+    task.worker = base::worker_id{placement.worker()};
+    task.born = from_ms(placement.born_ms());
+    ++step.placed;
+    ++job.placed;
+    if (!job.was_placed) {
+        job.was_placed = true;
+        if (job.spec.occurrences == 0) {
+            --m_pending[job.spec.queue];
+        }
+    }
+    job.state = job_state::running;
+    const auto size = booked_size(job.spec.steps[run.task.step]);
+    m_placed[task.worker].insert(run.task);
+    m_used_on[task.worker] += size;
+    m_used_by[job.spec.account] += size;
+}
+
+void ledger::release(job_record& job, const task_key& key, task_record& task)
+{
+    task.placed = false;
+    --job.step(key.occurrence, key.step).placed;
+    --job.placed;
+    const auto size = booked_size(job.spec.steps[key.step]);
+    m_used_on[task.worker] -= size;
+    m_used_by[job.spec.account] -= size;
+    auto& placed = m_placed[task.worker];
+    placed.erase(key);
+    if (placed.empty()) {
+        m_placed.erase(task.worker);
+        m_used_on.erase(task.worker);
+    }
+}
+
+void ledger::apply(const pb::EndTask& operation, base::wall_time now)
+{
+    const auto run = jobs::from_proto(operation.task());
+    const auto found = m_jobs.find(run.task.job);
+    if (found == m_jobs.end()) {
+        return;
+    }
+    auto& job = found->second;
+    auto* const task = find_task(job, run.task);
+    if (task == nullptr || !task->placed || task->attempt != run.attempt ||
+        task->worker.str() != operation.worker()) {
+        return;
+    }
+    release(job, run.task, *task);
+    if (!operation.checkpoint().empty()) {
+        task->checkpoint = operation.checkpoint();
+    }
+    const auto& spec = job.spec.steps[run.task.step];
+    if (spec.gang) {
+        end_gang(job, run.task, operation, now);
+    }
+    else if (from_proto(operation.how()) == end_kind::done && !spec.long_running) {
+        task->done = true;
+        --job.step(run.task.occurrence, run.task.step).undone;
+    }
+    else if (from_proto(operation.how()) == end_kind::failed && !spec.long_running) {
+        count_failure(job, *task, now);
+    }
+    finish_if_complete(job, now);
+    close_if_released(job);
+}
+
+// The tasks of a gang end together: one that is done stands for all, and one failure counts once
+// for each attempt of the whole gang.
+void ledger::end_gang(job_record& job, const task_key& key, const pb::EndTask& operation,
+                      base::wall_time now)
+{
+    auto& step = job.step(key.occurrence, key.step);
+    if (!operation.checkpoint().empty()) {
+        for (auto& member : step.tasks) {
+            member.checkpoint = operation.checkpoint();
+        }
+    }
+    const auto how = from_proto(operation.how());
+    if (how == end_kind::done && step.undone > 0) {
+        for (auto& member : step.tasks) {
+            member.done = true;
+        }
+        step.undone = 0;
+    }
+    else if (how == end_kind::failed && step.undone > 0 &&
+             step.failed_attempt != operation.task().attempt()) {
+        step.failed_attempt = operation.task().attempt();
+        count_failure(job, step.tasks.front(), now);
+    }
+}
+
+void ledger::count_failure(job_record& job, task_record& task, base::wall_time now)
+{
+    if (++task.failures >= job.spec.max_attempts) {
+        finish(job, job_state::failed, now);
+    }
+}
+
+void ledger::finish_if_complete(job_record& job, base::wall_time now)
+{
+    if (!is_final(job.state) && std::ranges::all_of(job.steps, [](const step_record& step) {
+            return step.undone == 0;
+        })) {
+        finish(job, job_state::completed, now);
+    }
+}
+
+void ledger::apply(const pb::ForgetJobs& operation)
+{
+    const auto before = from_ms(operation.ended_before_ms());
+    std::erase_if(m_jobs, [&](const auto& entry) {
+        const auto& job = entry.second;
+        return is_final(job.state) && job.placed == 0 && job.ended < before;
+    });
+}
+
+const job_record* ledger::find(job_number id) const
+{
+    const auto found = m_jobs.find(id);
+    return found == m_jobs.end() ? nullptr : &found->second;
+}
+
+const task_record* ledger::find(const task_key& key) const
+{
+    const auto found = m_jobs.find(key.job);
+    return found == m_jobs.end() ? nullptr : find_task(found->second, key);
+}
+
+const std::set<task_key>& ledger::placed_on(const base::worker_id& worker) const
+{
+    static const std::set<task_key> none;
+    const auto found = m_placed.find(worker);
+    return found == m_placed.end() ? none : found->second;
+}
+
+size ledger::used_on(const base::worker_id& worker) const
+{
+    const auto found = m_used_on.find(worker);
+    return found == m_used_on.end() ? size{} : found->second;
+}
+
+size ledger::used_by(const std::string& account) const
+{
+    const auto found = m_used_by.find(account);
+    return found == m_used_by.end() ? size{} : found->second;
+}
+
+std::uint64_t ledger::pending(std::string_view queue) const
+{
+    const auto found = m_pending.find(queue);
+    return found == m_pending.end() ? 0 : found->second;
+}
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/src/jobs/ledger_snapshot.cpp
@@ -0,0 +1,139 @@
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/jobs/ledger.h"
+
+#include <utility>
+
+namespace lovagebeam::jobs {
+namespace {
+
+namespace pb = proto::jobs;
+
+using base::error_code;
+using base::make_error;
+
+void write(const task_record& task, pb::TaskRecord& out)
+{
+    out.set_placed(task.placed);
+    out.set_done(task.done);
+    out.set_attempt(task.attempt);
+    out.set_failures(task.failures);
+    out.set_worker(task.worker.str());
+    out.set_born_ms(task.born.time_since_epoch().count());
+    out.set_checkpoint(task.checkpoint);
+}
+
+task_record read(const pb::TaskRecord& message)
+{
+    task_record out;
+    out.placed = message.placed();
+    out.done = message.done();
+    out.attempt = message.attempt();
+    out.failures = message.failures();
+    out.worker = base::worker_id{message.worker()};
+    out.born = base::wall_time{milliseconds{message.born_ms()}};
+    out.checkpoint = message.checkpoint();
+    return out;
+}
+
+void write(const job_record& job, pb::JobRecord& out)
+{
+    *out.mutable_spec() = to_proto(job.spec);
+    out.set_accepted_ms(job.accepted.time_since_epoch().count());
+    out.set_ended_ms(job.ended.time_since_epoch().count());
+    out.set_state(static_cast<std::uint32_t>(job.state));
+    out.set_was_placed(job.was_placed);
+    for (const auto& step : job.steps) {
+        auto& record = *out.add_steps();
+        record.set_failed_attempt(step.failed_attempt);
+        for (const auto& task : step.tasks) {
+            write(task, *record.add_tasks());
+        }
+    }
+}
+
+job_record read(const pb::JobRecord& message)
+{
+    job_record out;
+    out.spec = from_proto(message.spec());
+    out.accepted = base::wall_time{milliseconds{message.accepted_ms()}};
+    out.ended = base::wall_time{milliseconds{message.ended_ms()}};
+    out.state = static_cast<job_state>(message.state());
+    out.was_placed = message.was_placed();
+    for (const auto& record : message.steps()) {
+        step_record step;
+        step.failed_attempt = record.failed_attempt();
+        for (const auto& task : record.tasks()) {
+            step.tasks.push_back(read(task));
+            step.undone += step.tasks.back().done ? 0 : 1;
+            step.placed += step.tasks.back().placed ? 1 : 0;
+        }
+        out.placed += step.placed;
+        out.steps.push_back(std::move(step));
+    }
+    return out;
+}
+
+} // namespace
+
+std::string ledger::encode() const
+{
+    pb::Snapshot out;
+    for (const auto& [id, job] : m_jobs) {
+        write(job, *out.add_jobs());
+    }
+    for (const auto& [id, worker] : m_workers) {
+        *out.add_workers() = to_proto(worker);
+    }
+    out.mutable_catalog()->set_version(m_catalog_version);
+    out.mutable_catalog()->set_document(m_catalog);
+    out.set_history(m_history);
+    return out.SerializeAsString();
+}
+
+absl::Status ledger::decode(std::string_view bytes)
+{
+    pb::Snapshot message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        return make_error(error_code::snapshot_corrupt, "the job ledger can't be read");
+    }
+    *this = ledger{};
+    for (const auto& record : message.jobs()) {
+        job_record job = read(record);
+        if (job.steps.size() != job.spec.steps.size() * job.spec.runs()) {
+            return make_error(error_code::snapshot_corrupt, "a job has another number of steps");
+        }
+        const auto id = job.spec.id;
+        index(m_jobs.insert_or_assign(id, std::move(job)).first->second);
+    }
+    for (auto& [id, job] : m_jobs) {
+        index_placements(job);
+    }
+    for (const auto& worker : message.workers()) {
+        auto info = from_proto(worker);
+        auto id = info.id;
+        m_workers.insert_or_assign(std::move(id), std::move(info));
+    }
+    m_catalog_version = message.catalog().version();
+    m_catalog = message.catalog().document();
+    m_history = message.history();
+    return absl::OkStatus();
+}
+
+void ledger::index_placements(const job_record& job)
+{
+    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
+        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
+            const auto& tasks = job.step(run, step).tasks;
+            const auto size = booked_size(job.spec.steps[step]);
+            for (std::uint32_t index = 0; index < tasks.size(); ++index) {
+                if (tasks[index].placed) {
+                    m_placed[tasks[index].worker].insert({job.spec.id, run, step, index});
+                    m_used_on[tasks[index].worker] += size;
+                    m_used_by[job.spec.account] += size;
+                }
+            }
+        }
+    }
+}
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/src/jobs/planning.cpp
@@ -0,0 +1,445 @@
+#include "lovagebeam/jobs/coordinator.h"
+
+#include "text.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+#include <utility>
+
+namespace lovagebeam::jobs {
+namespace {
+
+/// Workers that an objective's allowance for advice counts in each call.
+constexpr std::int64_t advised_workers_in_objective = 30;
+
+bool has_label(const worker_info& worker, const std::string& label)
+{
+    return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
+}
+
+milliseconds advice_time(const advice_policy* policy)
+{
+    return policy == nullptr
+               ? milliseconds{0}
+               : policy->decision + std::chrono::duration_cast<milliseconds>(
+                                        policy->per_worker * advised_workers_in_objective);
+}
+
+/// The longest chain of steps that depend on each other.
+milliseconds longest_chain(const job_spec& job, milliseconds advice)
+{
+    std::vector<milliseconds> ends;
+    milliseconds longest{0};
+    for (const auto& step : job.steps) {
+        milliseconds begin{0};
+        for (const auto earlier : step.depends_on) {
+            begin = std::max(begin, ends[earlier]);
+        }
+        ends.push_back(begin + advice + step.estimate);
+        longest = std::max(longest, ends.back());
+    }
+    return longest;
+}
+
+} // namespace
+
+const advice_policy* coordinator::advice_for(const job_spec& job) const
+{
+    const auto* const queue = m_catalog ? m_catalog->queue_named(job.queue) : nullptr;
+    return queue != nullptr && queue->advice ? &*queue->advice : nullptr;
+}
+
+std::string coordinator::pool_of(const job_spec& job) const
+{
+    const auto* const queue = m_catalog ? m_catalog->queue_named(job.queue) : nullptr;
+    return queue == nullptr ? job.pool : queue->pool;
+}
+
+base::wall_time coordinator::objective_end(const job_spec& job, base::wall_time from,
+                                           double objectives) const
+{
+    const auto chain = longest_chain(job, advice_time(advice_for(job)));
+    const auto objective =
+        job.slack_factor * static_cast<double>(chain.count()) +
+        static_cast<double>(job.target_latency.count());
+    return from + milliseconds{static_cast<std::int64_t>(objective * objectives)};
+}
+
+void coordinator::list_candidates(base::time_point now)
+{
+    m_candidates.clear();
+    m_pool_free.clear();
+    m_pool_capacity.clear();
+    for (const auto& [id, info] : m_ledger.workers()) {
+        if (!m_workers.is_usable(now, id)) {
+            continue;
+        }
+        auto free = info.capacity - m_ledger.used_on(id);
+        if (const auto planned = m_planned_on.find(id); planned != m_planned_on.end()) {
+            free -= planned->second;
+        }
+        m_candidates.push_back({&info, free});
+        m_pool_free[info.pool] += free;
+        m_pool_capacity[info.pool] += info.capacity;
+    }
+}
+
+void coordinator::plan(base::time_point now, base::wall_time wall)
+{
+    if (m_ready.empty() || !m_catalog) {
+        return;
+    }
+    list_candidates(now);
+    using rank = std::tuple<bool, std::uint32_t, base::wall_time, step_key>;
+    std::vector<rank> order;
+    order.reserve(m_ready.size());
+    for (const auto& [key, ready] : m_ready) {
+        order.emplace_back(wall >= ready.hopeless, ready.priority, ready.due_by, key);
+    }
+    std::ranges::sort(order);
+    for (const auto& [is_hopeless, priority, due_by, key] : order) {
+        plan_step(now, key, m_ready.at(key));
+    }
+}
+
+void coordinator::plan_step(base::time_point now, const step_key& key, ready_step& ready)
+{
+    const auto* const job = m_ledger.find(key.job);
+    if (job == nullptr || is_final(job->state) || job->step(key.occurrence, key.step).undone == 0) {
+        m_ready.erase(key);
+        return;
+    }
+    const planned_step step{*job, key, job->spec.steps[key.step],
+                            job->step(key.occurrence, key.step), pool_of(job->spec)};
+    if (now < ready.not_before) {
+        m_is_dirty = true;
+        return;
+    }
+    if (step.spec.gang && step.record.placed > 0) {
+        return;
+    }
+    release_reservation(key);
+    const auto chosen = assign(now, step, ticket_rule::valid);
+    commit(step, chosen);
+    std::uint32_t waiting = 0;
+    for (std::uint32_t index = 0; index < step.record.tasks.size(); ++index) {
+        const auto& task = step.record.tasks[index];
+        const bool is_planned =
+            m_planned.contains({key.job, key.occurrence, key.step, index});
+        waiting += task.placed || task.done || is_planned ? 0 : 1;
+    }
+    if (waiting == 0) {
+        m_ready.erase(key);
+        return;
+    }
+    if (advice_for(job->spec) != nullptr) {
+        ask_advice(now, step, ready);
+    }
+}
+
+std::map<base::worker_id, std::uint32_t>
+coordinator::counts_on_workers(const planned_step& step) const
+{
+    std::map<base::worker_id, std::uint32_t> counts;
+    if (step.spec.max_per_worker == 0) {
+        return counts;
+    }
+    for (std::uint32_t index = 0; index < step.record.tasks.size(); ++index) {
+        const auto& task = step.record.tasks[index];
+        const auto planned =
+            m_planned.find({step.key.job, step.key.occurrence, step.key.step, index});
+        if (planned != m_planned.end()) {
+            ++counts[planned->second.worker];
+        }
+        else if (task.placed) {
+            ++counts[task.worker];
+        }
+    }
+    return counts;
+}
+
+bool coordinator::is_allowed(base::time_point now, const planned_step& step,
+                             const base::worker_id& worker, ticket_rule rule) const
+{
+    if (advice_for(step.job.spec) == nullptr) {
+        return true;
+    }
+    if (rule == ticket_rule::valid) {
+        return m_advice.valid_ticket(now, step.key, worker) != nullptr;
+    }
+    const auto* const known = m_advice.find(step.key);
+    return known != nullptr && known->allowed.contains(worker);
+}
+
+bool coordinator::has_headroom(const planned_step& step, const size& more) const
+{
+    if (step.job.spec.priority == 0) {
+        return true;
+    }
+    const auto free = m_pool_free.find(step.pool);
+    const auto capacity = m_pool_capacity.find(step.pool);
+    return free != m_pool_free.end() &&
+           static_cast<double>(free->second.millicores - more.millicores) >=
+               m_settings.planner.urgent_headroom *
+                   static_cast<double>(capacity->second.millicores);
+}
+
+bool coordinator::is_within_limit(const std::string& account, const size& more) const
+{
+    const auto found = m_catalog->accounts.find(account);
+    if (found == m_catalog->accounts.end()) {
+        return true;
+    }
+    const auto& limit = found->second.limit;
+    auto used = m_ledger.used_by(account) + more;
+    if (const auto planned = m_planned_by.find(account); planned != m_planned_by.end()) {
+        used += planned->second;
+    }
+    return (limit.millicores == 0 || used.millicores <= limit.millicores) &&
+           (limit.memory_mb == 0 || used.memory_mb <= limit.memory_mb) &&
+           (limit.accelerators == 0 || used.accelerators <= limit.accelerators);
+}
+
+std::vector<coordinator::assignment>
+coordinator::assign(base::time_point now, const planned_step& step, ticket_rule rule)
+{
+    if (step.spec.rack_sensitive) {
+        auto chosen = assign_in_one_rack(now, step, rule);
+        if (!chosen.empty()) {
+            return chosen;
+        }
+    }
+    return assign_within(now, step, rule, nullptr);
+}
+
+std::vector<coordinator::assignment>
+coordinator::assign_in_one_rack(base::time_point now, const planned_step& step, ticket_rule rule)
+{
+    std::map<std::string, std::int64_t> free;
+    for (const auto& candidate : m_candidates) {
+        if (candidate.info->pool == step.pool) {
+            free[candidate.info->rack] += candidate.free.millicores;
+        }
+    }
+    const auto needed = step.spec.size.millicores * static_cast<std::int64_t>(step.record.undone);
+    for (const auto& [rack, millicores] : free) {
+        if (millicores < needed) {
+            continue;
+        }
+        auto chosen = assign_within(now, step, rule, &rack);
+        if (chosen.size() == step.record.undone) {
+            return chosen;
+        }
+    }
+    return {};
+}
+
+// Takes what is chosen off the candidates while it goes on, and puts it back at the end.
+std::vector<coordinator::assignment>
+coordinator::assign_within(base::time_point now, const planned_step& step, ticket_rule rule,
+                           const std::string* rack)
+{
+    const auto booked = booked_size(step.spec);
+    auto counts = counts_on_workers(step);
+    std::vector<assignment> chosen;
+    size total;
+    bool is_whole = true;
+    for (std::uint32_t index = 0; index < step.record.tasks.size(); ++index) {
+        const auto& task = step.record.tasks[index];
+        if (task.done || task.placed ||
+            m_planned.contains({step.key.job, step.key.occurrence, step.key.step, index})) {
+            continue;
+        }
+        auto* const worker = is_within_limit(step.job.spec.account, total + booked) &&
+                                     has_headroom(step, total + booked)
+                                 ? choose(now, step, rule, rack, counts)
+                                 : nullptr;
+        if (worker == nullptr) {
+            is_whole = false;
+            break;
+        }
+        worker->free -= booked;
+        total += booked;
+        ++counts[worker->info->id];
+        chosen.push_back({index, worker});
+    }
+    for (const auto& one : chosen) {
+        one.worker->free += booked;
+    }
+    if (step.spec.gang && !is_whole) {
+        chosen.clear();
+    }
+    return chosen;
+}
+
+coordinator::candidate_worker*
+coordinator::choose(base::time_point now, const planned_step& step, ticket_rule rule,
+                    const std::string* rack,
+                    const std::map<base::worker_id, std::uint32_t>& counts)
+{
+    const auto booked = booked_size(step.spec);
+    const auto avoided = m_avoided.find(step.key);
+    candidate_worker* best = nullptr;
+    std::tuple<bool, bool, std::int64_t> best_rank;
+    for (auto& candidate : m_candidates) {
+        const auto& info = *candidate.info;
+        if (info.pool != step.pool || !booked.fits_in(candidate.free) ||
+            !step.spec.size.fits_in(info.capacity) || (rack != nullptr && info.rack != *rack) ||
+            !has_label(info, step.spec.required_label)) {
+            continue;
+        }
+        if (step.spec.max_per_worker > 0) {
+            const auto count = counts.find(info.id);
+            if (count != counts.end() && count->second >= step.spec.max_per_worker) {
+                continue;
+            }
+        }
+        const bool is_avoided = avoided != m_avoided.end() && avoided->second.contains(info.id);
+        const bool is_far =
+            !step.spec.preferred_rack.empty() && info.rack != step.spec.preferred_rack;
+        const std::tuple rank{is_avoided, is_far, candidate.free.millicores};
+        if ((best == nullptr || rank < best_rank) && is_allowed(now, step, info.id, rule)) {
+            best = &candidate;
+            best_rank = rank;
+        }
+    }
+    return best;
+}
+
+void coordinator::commit(const planned_step& step, const std::vector<assignment>& chosen)
+{
+    if (chosen.empty()) {
+        return;
+    }
+    const auto booked = booked_size(step.spec);
+    std::uint32_t attempt = 0;
+    for (const auto& task : step.record.tasks) {
+        attempt = std::max(attempt, task.attempt);
+    }
+    auto* operation = add_operation().mutable_place();
+    for (const auto& one : chosen) {
+        const task_key key{step.key.job, step.key.occurrence, step.key.step, one.index};
+        // Members of a gang share the number of their attempt.
+        const auto number = (step.spec.gang ? attempt : step.record.tasks[one.index].attempt) + 1;
+        auto& placement = *operation->add_placements();
+        *placement.mutable_task() = jobs::to_proto(run_key{key, number});
+        placement.set_worker(one.worker->info->id.str());
+        placement.set_born_ms(one.worker->info->born.time_since_epoch().count());
+        one.worker->free -= booked;
+        m_pool_free[step.pool] -= booked;
+        m_planned_on[one.worker->info->id] += booked;
+        m_planned_by[step.job.spec.account] += booked;
+        m_planned.emplace(key,
+                          planned_run{one.worker->info->id, booked, step.job.spec.account});
+    }
+    m_out.notes.push_back({"tasks_placed", step.key.job,
+                           absl::StrCat("step=", step.key.step, " tasks=", chosen.size(),
+                                        " first_worker=", chosen.front().worker->info->id.str(),
+                                        " free_millicores=",
+                                        m_pool_free[step.pool].millicores)});
+}
+
+void coordinator::unplan(const task_key& key)
+{
+    const auto found = m_planned.find(key);
+    if (found == m_planned.end()) {
+        return;
+    }
+    m_planned_on[found->second.worker] -= found->second.size;
+    m_planned_by[found->second.account] -= found->second.size;
+    m_planned.erase(found);
+}
+
+void coordinator::reserve(base::time_point now, const planned_step& step,
+                          const std::vector<assignment>& chosen)
+{
+    const auto booked = booked_size(step.spec);
+    reservation made;
+    made.until = now + m_settings.planner.reservation;
+    for (const auto& one : chosen) {
+        made.sizes.emplace_back(one.worker->info->id, booked);
+        m_planned_on[one.worker->info->id] += booked;
+        one.worker->free -= booked;
+        m_pool_free[step.pool] -= booked;
+    }
+    m_reserved.emplace(step.key, std::move(made));
+}
+
+void coordinator::release_reservation(const step_key& key)
+{
+    const auto found = m_reserved.find(key);
+    if (found == m_reserved.end()) {
+        return;
+    }
+    for (const auto& [worker, booked] : found->second.sizes) {
+        m_planned_on[worker] -= booked;
+        const auto candidate = std::ranges::find(
+            m_candidates, worker, [](const auto& entry) { return entry.info->id; });
+        if (candidate != m_candidates.end()) {
+            candidate->free += booked;
+            m_pool_free[candidate->info->pool] += booked;
+        }
+    }
+    m_reserved.erase(found);
+}
+
+// Asks for tickets where the step would fit; where it fits nowhere that is known, asks about the
+// workers that no call has named yet.
+void coordinator::ask_advice(base::time_point now, const planned_step& step,
+                             const ready_step& ready)
+{
+    const auto* const known = m_advice.find(step.key);
+    if (known != nullptr && known->is_asking) {
+        const auto wanted = assign(now, step, ticket_rule::any);
+        if (!wanted.empty()) {
+            reserve(now, step, wanted);
+        }
+        return;
+    }
+    const auto& policy = *advice_for(step.job.spec);
+    const auto wanted = assign(now, step, ticket_rule::any);
+    if (wanted.empty()) {
+        ask_about(now, step.key, step.job.spec, step.pool, policy, ready.due_by);
+        return;
+    }
+    std::set<base::worker_id> renewed;
+    for (const auto& one : wanted) {
+        renewed.insert(one.worker->info->id);
+    }
+    m_advice.ask(step.key, policy, {renewed.begin(), renewed.end()},
+                 {step.job.spec.priority, ready.due_by.time_since_epoch().count()});
+    reserve(now, step, wanted);
+}
+
+void coordinator::ask_about(base::time_point, const step_key& key, const job_spec& job,
+                            const std::string& pool, const advice_policy& policy,
+                            base::wall_time due_by)
+{
+    const auto* const known = m_advice.find(key);
+    const auto& step = job.steps[key.step];
+    std::vector<const candidate_worker*> unknown;
+    for (const auto& candidate : m_candidates) {
+        const auto& info = *candidate.info;
+        if (info.pool == pool && has_label(info, step.required_label) &&
+            step.size.fits_in(info.capacity) &&
+            (known == nullptr ||
+             (!known->allowed.contains(info.id) && !known->refused.contains(info.id)))) {
+            unknown.push_back(&candidate);
+        }
+    }
+    std::ranges::stable_sort(unknown, std::greater{}, [](const candidate_worker* one) {
+        return one->free.millicores;
+    });
+    std::vector<base::worker_id> workers;
+    workers.reserve(unknown.size());
+    for (const auto* one : unknown) {
+        workers.push_back(one->info->id);
+    }
+    m_advice.ask(key, policy, std::move(workers),
+                 {job.priority, due_by.time_since_epoch().count()});
+}
+
+} // namespace lovagebeam::jobs
--- /dev/null
+++ b/src/jobs/worker_table.cpp
@@ -0,0 +1,279 @@
+#include "lovagebeam/jobs/worker_table.h"
+
+#include "text.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagebeam::jobs {
+namespace {
+
+/// A note is kept short: it becomes one log line.
+decision_note note(std::string_view event, const run_key& run, std::string detail)
+{
+    return {event, run.task.job, absl::StrCat("run=", text_of(run), " ", detail)};
+}
+
+} // namespace
+
+worker_table::worker_table(worker_settings settings, const ledger& records, fencing_token token,
+                           base::time_point now)
+    : m_settings{settings}, m_ledger{records}, m_token{token}
+{
+    for (const auto& [id, info] : records.workers()) {
+        on_worker(now, info);
+    }
+    for (const auto id : records.open_jobs()) {
+        const auto& job = *records.find(id);
+        for (const auto& step : job.steps) {
+            for (const auto& task : step.tasks) {
+                if (task.placed && !m_workers.contains(task.worker)) {
+                    worker_info unknown;
+                    unknown.id = task.worker;
+                    unknown.born = task.born;
+                    on_worker(now, unknown);
+                    m_workers.at(task.worker).is_removed = true;
+                }
+            }
+        }
+    }
+}
+
+worker_table::entry* worker_table::find(const base::worker_id& id)
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+const worker_table::entry* worker_table::find(const base::worker_id& id) const
+{
+    const auto found = m_workers.find(id);
+    return found == m_workers.end() ? nullptr : &found->second;
+}
+
+worker_address worker_table::address(const entry& worker) const
+{
+    return {worker.info.id, worker.info.born, worker.info.address, worker.info.port};
+}
+
+std::optional<worker_address> worker_table::address_of(const base::worker_id& id) const
+{
+    const auto* const worker = find(id);
+    return worker == nullptr ? std::nullopt : std::optional{address(*worker)};
+}
+
+void worker_table::on_worker(base::time_point now, const worker_info& info)
+{
+    auto* const known = find(info.id);
+    if (known == nullptr) {
+        begin_life(m_workers[info.id], now, info);
+        return;
+    }
+    if (known->info.born != info.born) {
+        begin_life(*known, now, info);
+        end_placements(*known, end_kind::lost, true);
+        return;
+    }
+    known->info = info;
+    known->is_removed = false;
+}
+
+void worker_table::begin_life(entry& worker, base::time_point now, const worker_info& info)
+{
+    const auto quarantines = worker.quarantines;
+    worker = entry{};
+    worker.info = info;
+    worker.quarantines = quarantines;
+    worker.next_hold = now;
+    const auto longest = std::chrono::duration<double, std::milli>{m_settings.max_lease} /
+                         (1 - m_settings.clock_drift);
+    worker.lease_end = now + std::chrono::duration_cast<base::duration>(longest);
+}
+
+void worker_table::on_worker_removed(const base::worker_id& id)
+{
+    if (auto* const worker = find(id)) {
+        worker->is_removed = true;
+    }
+}
+
+void worker_table::on_clock(base::time_point now, const base::worker_id& id, worker_time clock)
+{
+    auto* const worker = find(id);
+    if (worker != nullptr && (!worker->clock_read || clock >= clock_now(*worker, now))) {
+        worker->clock = clock;
+        worker->clock_read = now;
+    }
+}
+
+worker_time worker_table::clock_now(const entry& worker, base::time_point now) const
+{
+    return worker.clock + std::chrono::duration_cast<worker_time>(now - *worker.clock_read);
+}
+
+// A worker's clock may be slow by the drift, so the lease may last longer on ours.
+void worker_table::extend(entry& worker, worker_time deadline)
+{
+    const auto left = std::chrono::duration<double, std::milli>{deadline - worker.clock} /
+                      (1 - m_settings.clock_drift);
+    worker.lease_end = std::max(
+        worker.lease_end, *worker.clock_read + std::chrono::duration_cast<base::duration>(left));
+}
+
+void worker_table::send_hold(entry& worker, base::time_point now)
+{
+    hold_order order;
+    order.to = address(worker);
+    order.cursor = worker.cursor;
+    order.token = m_token;
+    // The first hold under this leader only reads, so that the lists are there at once.
+    order.wait = worker.is_fenced && worker.listed == worker.cursor ? m_settings.hold_wait
+                                                                    : milliseconds{0};
+    if (worker.clock_read) {
+        const auto lease = std::chrono::duration_cast<worker_time>(
+            std::chrono::duration<double, std::milli>{m_settings.max_lease} *
+            m_settings.lease_fraction);
+        order.deadline = clock_now(worker, now) + lease;
+        extend(worker, *order.deadline);
+    }
+    worker.is_holding = true;
+    m_out.holds.push_back(std::move(order));
+}
+
+void worker_table::send_stop(entry& worker, base::time_point now, const run_key& run)
+{
+    auto& last = worker.stops[run];
+    if (last == base::time_point{} || now - last >= m_settings.stop_retry) {
+        last = now;
+        m_out.stops.push_back({address(worker), run, m_token});
+    }
+}
+
+void worker_table::stop(base::time_point now, const run_key& run)
+{
+    const auto* const task = m_ledger.find(run.task);
+    if (task == nullptr || !task->placed || task->attempt != run.attempt) {
+        return;
+    }
+    if (auto* const worker = find(task->worker); worker && worker->info.born == task->born) {
+        send_stop(*worker, now, run);
+    }
+}
+
+std::optional<worker_time> worker_table::on_start_sent(base::time_point now, const run_key& run)
+{
+    const auto* const task = m_ledger.find(run.task);
+    auto* const worker = task == nullptr ? nullptr : find(task->worker);
+    if (worker == nullptr || worker->info.born != task->born || !worker->clock_read ||
+        !worker->is_fenced) {
+        return std::nullopt;
+    }
+    const auto deadline = clock_now(*worker, now) +
+                          std::chrono::duration_cast<worker_time>(m_settings.start_window);
+    worker->starts[run] = {deadline, std::nullopt, std::nullopt};
+    extend(*worker, deadline);
+    return deadline;
+}
+
+void worker_table::on_start_answer(base::time_point now, const run_key& run,
+                                   const base::worker_id& id, start_outcome outcome)
+{
+    auto* const worker = find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    const auto found = worker->starts.find(run);
+    if (found == worker->starts.end()) {
+        return;
+    }
+    if (outcome == start_outcome::started) {
+        found->second.answered = now;
+        return;
+    }
+    m_out.notes.push_back(note("start_not_confirmed", run,
+                               absl::StrCat("worker=", id.str(), " outcome=", std::string{name_of(outcome)})));
+    if (outcome == start_outcome::unknown) {
+        return;
+    }
+    worker->starts.erase(found);
+    report(*worker, run, end_kind::not_started);
+}
+
+void worker_table::on_stop_done(base::time_point now, const run_key& run,
+                                const base::worker_id& id)
+{
+    auto* const worker = find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    if (const auto found = worker->starts.find(run); found != worker->starts.end()) {
+        found->second.barred = now;
+    }
+}
+
+void worker_table::on_cursor_committed(const cursor_move& move)
+{
+    auto* const worker = find(move.worker);
+    if (worker != nullptr && worker->info.born == move.born) {
+        worker->cursor = std::max(worker->cursor, move.number);
+        if (!worker->is_holding && worker->cursor == worker->listed) {
+            worker->next_hold = base::time_point{};
+        }
+    }
+}
+
+void worker_table::on_end_applied(const run_key& run, const base::worker_id& id)
+{
+    if (auto* const worker = find(id)) {
+        worker->ending.erase(run);
+        worker->starts.erase(run);
+        worker->moved.erase(run);
+    }
+}
+
+void worker_table::report(entry& worker, const run_key& run, end_kind how, std::string checkpoint)
+{
+    if (worker.ending.emplace(run, how).second) {
+        m_out.ends.push_back({run, worker.info.id, how, std::move(checkpoint)});
+    }
+}
+
+void worker_table::end_placements(entry& worker, end_kind how, bool only_other_lives)
+{
+    for (const auto& key : m_ledger.placed_on(worker.info.id)) {
+        const auto& task = *m_ledger.find(key);
+        if (!only_other_lives || task.born != worker.info.born) {
+            report(worker, {key, task.attempt}, how);
+        }
+    }
+}
+
+bool worker_table::is_usable(base::time_point now, const base::worker_id& id) const
+{
+    const auto* const worker = find(id);
+    return worker != nullptr && !worker->is_removed && !worker->info.draining &&
+           worker->is_fenced && worker->heard && now - *worker->heard < m_settings.contact_time &&
+           worker->quarantined_until <= now;
+}
+
+bool worker_table::is_quarantined(base::time_point now, const base::worker_id& id) const
+{
+    const auto* const worker = find(id);
+    return worker != nullptr && worker->quarantined_until > now;
+}
+
+const std::map<run_key, running_row>& worker_table::running_on(const base::worker_id& id) const
+{
+    static const std::map<run_key, running_row> none;
+    const auto* const worker = find(id);
+    return worker == nullptr ? none : worker->running;
+}
+
+worker_table::output worker_table::take()
+{
+    return std::exchange(m_out, {});
+}
+
+} // namespace lovagebeam::jobs
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -2,13 +2,13 @@
 
 #include "lovagebeam/base/errors.h"
 
+#include "text_file.h"
+
 #include <boost/asio/ip/address.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
-#include <fstream>
 #include <set>
-#include <sstream>
 
 namespace lovagebeam::settings {
 namespace {
@@ -141,17 +141,6 @@
     return result;
 }
 
-absl::StatusOr<std::string> read_file(const std::string& path)
-{
-    std::ifstream file{path};
-    std::ostringstream text;
-    text << file.rdbuf();
-    if (!file) {
-        return base::make_error(base::error_code::invalid_settings, "can't read " + path);
-    }
-    return text.str();
-}
-
 } // namespace
 
 const member& daemon_settings::self() const
@@ -187,7 +176,7 @@
 
 absl::StatusOr<daemon_settings> load_daemon_settings(const std::string& path)
 {
-    const auto text = read_file(path);
+    const auto text = read_text_file(path);
     if (!text.ok()) {
         return text.status();
     }
@@ -195,16 +184,12 @@
     if (result.settings) {
         return *std::move(result.settings);
     }
-    std::string message = path + " has " + std::to_string(result.problems.size()) + " problems";
-    for (const auto& found : result.problems) {
-        message += "\n  " + (found.path.empty() ? "document" : found.path) + ": " + found.message;
-    }
-    return base::make_error(base::error_code::invalid_settings, message);
+    return problems_error(path, result.problems);
 }
 
 absl::StatusOr<std::string> load_secret(const std::string& path)
 {
-    const auto text = read_file(path);
+    const auto text = read_text_file(path);
     if (!text.ok()) {
         return text.status();
     }
--- /dev/null
+++ b/src/settings/text_file.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lovagebeam/settings/json_reader.h"
+
+#include <absl/status/statusor.h>
+
+#include <string>
+#include <vector>
+
+namespace lovagebeam::settings {
+
+/// Returns the content of the file, or `invalid_settings`.
+absl::StatusOr<std::string> read_text_file(const std::string& path);
+
+/// Returns `invalid_settings` with one line for each problem of the document at `path`.
+absl::Status problems_error(const std::string& path, const std::vector<problem>& problems);
+
+} // namespace lovagebeam::settings
--- a/src/state/cell_data.h
+++ b/src/state/cell_data.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/state/cell_state.h"
 
 #include "convert.h"
@@ -77,6 +78,7 @@
     section_map<base::task_id, task, section::tasks> tasks;
     section_map<request_key, intent, section::intents> intents;
     section_map<request_key, result_identity, section::results> results;
+    jobs::ledger job_ledger;
 
     // Derived.
     std::uint64_t config_hash = 0;
--- a/src/state/cell_state.cpp
+++ b/src/state/cell_state.cpp
@@ -52,6 +52,9 @@
         return apply(data, message.record_result(), context);
     case pb::Command::kExpireEntries:
         return apply(data, message.expire_entries(), context);
+    case pb::Command::kJobBatch:
+        context.result.changed = true;
+        return data.job_ledger.apply(message.job_batch());
     default:
         return make_error(error_code::invalid_request, "unknown command");
     }
@@ -135,6 +138,11 @@
     return result;
 }
 
+const jobs::ledger& cell_state::job_ledger() const
+{
+    return m_data->job_ledger;
+}
+
 std::string cell_state::encode_snapshot() const
 {
     return encode_data(*m_data);
--- a/src/state/snapshot.cpp
+++ b/src/state/snapshot.cpp
@@ -161,6 +161,7 @@
         *message.add_members() = to_proto(one);
     }
     message.set_next_audit(data.next_audit);
+    message.set_job_ledger(data.job_ledger.encode());
 }
 
 void read_header(cell_data& data, const pb::Snapshot& message)
@@ -229,6 +230,9 @@
     if (!read_records(*data, message)) {
         return corrupt("a record is not valid");
     }
+    if (auto status = data->job_ledger.decode(message.job_ledger()); !status.ok()) {
+        return status;
+    }
     if (data->digest() != message.digest()) {
         return corrupt("the content does not give the stored digest");
     }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -113,11 +113,12 @@
 
 } // namespace
 
-void start_logging(severity lowest, std::string_view node)
+void start_logging(severity lowest, std::string_view node, log_stream stream)
 {
     node_name() = node;
     auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    backend->add_stream(boost::shared_ptr<std::ostream>{&std::cerr, boost::null_deleter{}});
+    std::ostream& out = stream == log_stream::output ? std::cout : std::cerr;
+    backend->add_stream(boost::shared_ptr<std::ostream>{&out, boost::null_deleter{}});
     backend->auto_flush(true);
     sink() = boost::make_shared<sink_type>(backend);
     logging::core::get()->add_sink(sink());
--- a/src/telemetry/metrics.cpp
+++ b/src/telemetry/metrics.cpp
@@ -93,7 +93,10 @@
     const std::lock_guard lock{m_mutex};
     const std::string base{name};
     const std::string prefix = labels.empty() ? "" : std::string{labels} + ",";
-    const std::string suffix = labels.empty() ? "" : "{" + std::string{labels} + "}";
+    std::string suffix;
+    if (!labels.empty()) {
+        suffix.append("{").append(labels).append("}");
+    }
     double seen = m_impl->buckets.at(-1);
     for (auto&& bucket : bh::indexed(m_impl->buckets)) {
         seen += *bucket;
