--- a/include/lovagebeam/jobs/model.h
+++ b/include/lovagebeam/jobs/model.h
@@ -18,6 +18,9 @@
 /// Identifies a job. Chosen by the caller, which makes a resent submission idempotent.
 using job_number = base::strong_number<struct job_number_tag>;
 
+/// Returns the id as callers write it: 16 hexadecimal digits.
+std::string job_text(job_number id);
+
 /// An amount of each kind of capacity.
 struct size {
     std::int64_t millicores = 0;
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -34,6 +34,8 @@
     milliseconds commit_patience{500};
     /// A run whose progress stands still for this time is stopped and placed elsewhere.
     milliseconds stall_time{3'500};
+    /// A member of a gang that is still listed this long after another one ended is stopped.
+    milliseconds gang_end_time{1'000};
     /// Failed runs of distinct jobs without a successful one that put a worker into quarantine.
     std::uint32_t quarantine_jobs = 2;
     milliseconds quarantine_first{3'000};
@@ -125,6 +127,7 @@
         worker_info info;
         bool is_removed = false;
         bool is_fenced = false; ///< answered a hold under this leader's token
+        bool is_silent = false; ///< didn't answer the last hold
         std::optional<base::time_point> heard;
         base::time_point lease_end; ///< by then every lease on the worker has lapsed
         worker_time clock{};
@@ -134,6 +137,9 @@
         bool is_holding = false;
         base::time_point next_hold;
         std::map<run_key, sent_start> starts;
+        /// Starts that were sent to an earlier life under the same id, which never listed them, and
+        /// may reach this one; with the time at which a stop barred them.
+        std::map<run_key, std::optional<base::time_point>> carried;
         std::map<run_key, running_row> running;
         std::map<run_key, progress> moved;
         std::map<run_key, base::time_point> stops; ///< when the last stop was sent
@@ -152,10 +158,13 @@
     void send_stop(entry& worker, base::time_point now, const run_key& run);
     void report(entry& worker, const run_key& run, end_kind how, std::string checkpoint = {});
     void begin_life(entry& worker, base::time_point now, const worker_info& info);
-    void end_placements(entry& worker, end_kind how, bool only_other_lives);
+    void end_placements(entry& worker, end_kind how);
+    void settle_other_life(entry& worker, base::time_point now, base::time_point sent,
+                           const run_key& run);
     void read_finished(entry& worker, base::time_point now, const hold_answer& answer);
     void read_running(entry& worker, base::time_point now, const hold_answer& answer);
-    void settle(entry& worker, base::time_point sent, const hold_answer& answer);
+    void settle(entry& worker, base::time_point now, base::time_point sent,
+                const hold_answer& answer);
     [[nodiscard]] bool is_wanted(const entry& worker, const run_key& run) const;
     void watch_progress(entry& worker, base::time_point now, const running_row& row);
     void judge(entry& worker, base::time_point now, const run_key& run, end_kind how);
--- a/programs/lovagebeam/core_process.cpp
+++ b/programs/lovagebeam/core_process.cpp
@@ -17,8 +17,9 @@
 using telemetry::log_event;
 using telemetry::severity;
 
-/// Starts, a hold, stops and what comes after them may be under way to one worker.
-constexpr std::size_t connections_per_worker = 12;
+/// A hold takes one connection for a second; the others carry starts and stops. With 350 workers
+/// this leaves more than half of the 4,100 descriptors of a host.
+constexpr std::size_t connections_per_worker = 4;
 constexpr std::chrono::seconds idle_connection_time{20};
 
 targets::http_client_limits client_limits()
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -144,7 +144,7 @@
     auto spec = m_parts.codec->decode_job(body);
     if (!spec.ok()) {
         log_event{severity::info, "job_refused"}
-            .with("job", about.job.value())
+            .with("job", jobs::job_text(about.job))
             .with("why", std::string{spec.status().message()})
             .write();
         reply(answer_with(status_bad_request));
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -265,7 +265,7 @@
     for (const auto& note : out.notes) {
         log_event line{severity::info, note.event};
         if (note.job) {
-            line.with("job", note.job->value());
+            line.with("job", jobs::job_text(*note.job));
         }
         line.with("detail", note.detail).write();
     }
--- a/src/jobs/advice_desk.cpp
+++ b/src/jobs/advice_desk.cpp
@@ -50,9 +50,9 @@
             name = &id;
         }
     }
-    const auto reserved = std::max<std::size_t>(
-        1, static_cast<std::size_t>(std::lround(static_cast<double>(alive) *
-                                                m_settings.reserved_fraction)));
+    const auto reserved =
+        std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(
+                                     static_cast<double>(alive) * m_settings.reserved_fraction)));
     const bool is_kept_free = is_long && alive > 1 && idle_count <= reserved;
     return is_kept_free ? nullptr : idle;
 }
@@ -69,8 +69,7 @@
     std::vector<advice_order> out;
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
         const base::node_id* name = nullptr;
-        auto* const agent =
-            idle_agent(now, waiting->second.expected > m_settings.long_call, name);
+        auto* const agent = idle_agent(now, waiting->second.expected > m_settings.long_call, name);
         if (agent == nullptr) {
             ++waiting;
             continue;
@@ -98,9 +97,8 @@
     m_calls.erase(which);
 }
 
-std::optional<step_key>
-advice_desk::on_answer(base::time_point now, std::uint64_t id,
-                       const std::optional<std::vector<advice_row>>& rows)
+std::optional<step_key> advice_desk::on_answer(base::time_point now, std::uint64_t id,
+                                               const std::optional<std::vector<advice_row>>& rows)
 {
     const auto found = m_calls.find(id);
     if (found == m_calls.end()) {
@@ -156,8 +154,7 @@
 
 void advice_desk::forget(const step_key& step)
 {
-    if (const auto known = m_steps.find(step);
-        known != m_steps.end() && !known->second.is_asking) {
+    if (const auto known = m_steps.find(step); known != m_steps.end() && !known->second.is_asking) {
         m_steps.erase(known);
     }
 }
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -32,9 +32,9 @@
 
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
-    : m_settings{settings}, m_ledger{records}, m_token{token},
-      m_workers{settings.workers, records, token, now}, m_advice{settings.advice},
-      m_last_forget{now}
+    : m_settings{settings}, m_ledger{records}, m_token{token}, m_workers{settings.workers, records,
+                                                                         token, now},
+      m_advice{settings.advice}, m_last_forget{now}
 {
     for (const auto id : records.open_jobs()) {
         const auto& job = *records.find(id);
@@ -119,8 +119,7 @@
     for (const auto& operation : batch.operations()) {
         switch (operation.body_case()) {
         case pb::Operation::kAccept:
-            if (const auto* const job =
-                    m_ledger.find(job_number{operation.accept().spec().id()})) {
+            if (const auto* const job = m_ledger.find(job_number{operation.accept().spec().id()})) {
                 add_ready_steps(*job);
             }
             break;
@@ -196,8 +195,7 @@
 
 void coordinator::add_due_steps(base::wall_time wall)
 {
-    while (!m_later.empty() &&
-           m_later.begin()->first + m_settings.planner.due_margin <= wall) {
+    while (!m_later.empty() && m_later.begin()->first + m_settings.planner.due_margin <= wall) {
         const auto key = m_later.begin()->second;
         m_later.erase(m_later.begin());
         const auto* const job = m_ledger.find(key.job);
@@ -267,8 +265,8 @@
     start_order order;
     if (advice_for(job.spec) != nullptr) {
         const auto* const known = m_advice.find(step_of(run.task));
-        const auto ticket = known == nullptr ? decltype(known->allowed.end()){}
-                                             : known->allowed.find(task.worker);
+        const auto ticket =
+            known == nullptr ? decltype(known->allowed.end()){} : known->allowed.find(task.worker);
         if (known != nullptr && ticket != known->allowed.end()) {
             order.ticket = ticket->second.text;
         }
@@ -296,11 +294,10 @@
     if (job == nullptr) {
         return;
     }
-    m_out.notes.push_back(
-        {"run_ended", run.task.job,
-         absl::StrCat("run=", text_of(run), " worker=", worker.str(), " how=",
-                      std::string{name_of(from_proto(operation.how()))},
-                      " state=", std::string{name_of(job->state)})});
+    m_out.notes.push_back({"run_ended", run.task.job,
+                           absl::StrCat("run=", text_of(run), " worker=", worker.str(),
+                                        " how=", std::string{name_of(from_proto(operation.how()))},
+                                        " state=", std::string{name_of(job->state)})});
     if (is_final(job->state)) {
         remove_job(*job);
         stop_job(now, *job);
@@ -371,8 +368,7 @@
     if (now - m_last_forget >= m_settings.planner.forget_interval) {
         m_last_forget = now;
         m_is_dirty = true;
-        m_advice.forget_unless(
-            [this](job_number id) { return m_ledger.open_jobs().contains(id); });
+        m_advice.forget_unless([this](job_number id) { return m_ledger.open_jobs().contains(id); });
         const auto before = wall - m_settings.planner.retention;
         add_operation().mutable_forget()->set_ended_before_ms(before.time_since_epoch().count());
     }
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -290,9 +290,8 @@
 
 void ledger::finish_if_complete(job_record& job, base::wall_time now)
 {
-    if (!is_final(job.state) && std::ranges::all_of(job.steps, [](const step_record& step) {
-            return step.undone == 0;
-        })) {
+    if (!is_final(job.state) &&
+        std::ranges::all_of(job.steps, [](const step_record& step) { return step.undone == 0; })) {
         finish(job, job_state::completed, now);
     }
 }
--- a/src/jobs/model.cpp
+++ b/src/jobs/model.cpp
@@ -1,5 +1,7 @@
 #include "lovagebeam/jobs/model.h"
 
+#include <absl/strings/str_cat.h>
+
 #include <algorithm>
 #include <array>
 
@@ -33,6 +35,11 @@
 
 } // namespace
 
+std::string job_text(job_number id)
+{
+    return absl::StrCat(absl::Hex(id.value(), absl::kZeroPad16));
+}
+
 size& size::operator+=(const size& other)
 {
     millicores += other.millicores;
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -62,9 +62,8 @@
                                            double objectives) const
 {
     const auto chain = longest_chain(job, advice_time(advice_for(job)));
-    const auto objective =
-        job.slack_factor * static_cast<double>(chain.count()) +
-        static_cast<double>(job.target_latency.count());
+    const auto objective = job.slack_factor * static_cast<double>(chain.count()) +
+                           static_cast<double>(job.target_latency.count());
     return from + milliseconds{static_cast<std::int64_t>(objective * objectives)};
 }
 
@@ -127,8 +126,7 @@
     std::uint32_t waiting = 0;
     for (std::uint32_t index = 0; index < step.record.tasks.size(); ++index) {
         const auto& task = step.record.tasks[index];
-        const bool is_planned =
-            m_planned.contains({key.job, key.occurrence, key.step, index});
+        const bool is_planned = m_planned.contains({key.job, key.occurrence, key.step, index});
         waiting += task.placed || task.done || is_planned ? 0 : 1;
     }
     if (waiting == 0) {
@@ -203,8 +201,8 @@
            (limit.accelerators == 0 || used.accelerators <= limit.accelerators);
 }
 
-std::vector<coordinator::assignment>
-coordinator::assign(base::time_point now, const planned_step& step, ticket_rule rule)
+std::vector<coordinator::assignment> coordinator::assign(base::time_point now,
+                                                         const planned_step& step, ticket_rule rule)
 {
     if (step.spec.rack_sensitive) {
         auto chosen = assign_in_one_rack(now, step, rule);
@@ -238,9 +236,10 @@
 }
 
 // Takes what is chosen off the candidates while it goes on, and puts it back at the end.
-std::vector<coordinator::assignment>
-coordinator::assign_within(base::time_point now, const planned_step& step, ticket_rule rule,
-                           const std::string* rack)
+std::vector<coordinator::assignment> coordinator::assign_within(base::time_point now,
+                                                                const planned_step& step,
+                                                                ticket_rule rule,
+                                                                const std::string* rack)
 {
     const auto booked = booked_size(step.spec);
     auto counts = counts_on_workers(step);
@@ -277,8 +276,7 @@
 
 coordinator::candidate_worker*
 coordinator::choose(base::time_point now, const planned_step& step, ticket_rule rule,
-                    const std::string* rack,
-                    const std::map<base::worker_id, std::uint32_t>& counts)
+                    const std::string* rack, const std::map<base::worker_id, std::uint32_t>& counts)
 {
     const auto booked = booked_size(step.spec);
     const auto avoided = m_avoided.find(step.key);
@@ -332,14 +330,12 @@
         m_pool_free[step.pool] -= booked;
         m_planned_on[one.worker->info->id] += booked;
         m_planned_by[step.job.spec.account] += booked;
-        m_planned.emplace(key,
-                          planned_run{one.worker->info->id, booked, step.job.spec.account});
+        m_planned.emplace(key, planned_run{one.worker->info->id, booked, step.job.spec.account});
     }
     m_out.notes.push_back({"tasks_placed", step.key.job,
                            absl::StrCat("step=", step.key.step, " tasks=", chosen.size(),
                                         " first_worker=", chosen.front().worker->info->id.str(),
-                                        " free_millicores=",
-                                        m_pool_free[step.pool].millicores)});
+                                        " free_millicores=", m_pool_free[step.pool].millicores)});
 }
 
 void coordinator::unplan(const task_key& key)
@@ -376,8 +372,8 @@
     }
     for (const auto& [worker, booked] : found->second.sizes) {
         m_planned_on[worker] -= booked;
-        const auto candidate = std::ranges::find(
-            m_candidates, worker, [](const auto& entry) { return entry.info->id; });
+        const auto candidate = std::ranges::find(m_candidates, worker,
+                                                 [](const auto& entry) { return entry.info->id; });
         if (candidate != m_candidates.end()) {
             candidate->free += booked;
             m_pool_free[candidate->info->pool] += booked;
@@ -430,9 +426,8 @@
             unknown.push_back(&candidate);
         }
     }
-    std::ranges::stable_sort(unknown, std::greater{}, [](const candidate_worker* one) {
-        return one->free.millicores;
-    });
+    std::ranges::stable_sort(unknown, std::greater{},
+                             [](const candidate_worker* one) { return one->free.millicores; });
     std::vector<base::worker_id> workers;
     workers.reserve(unknown.size());
     for (const auto* one : unknown) {
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -19,13 +19,14 @@
     }
     worker->is_holding = false;
     if (outcome == hold_outcome::gone) {
-        end_placements(*worker, end_kind::lost, false);
+        end_placements(*worker, end_kind::lost);
         worker->is_removed = true;
         worker->is_fenced = false;
         worker->next_hold = now + m_settings.max_lease;
         return;
     }
     if (outcome != hold_outcome::answered) {
+        worker->is_silent = true;
         worker->next_hold = now + m_settings.hold_retry;
         return;
     }
@@ -36,12 +37,13 @@
         return;
     }
     worker->is_fenced = true;
+    worker->is_silent = false;
     worker->heard = now;
     worker->clock = answer.clock;
     worker->clock_read = now;
     read_finished(*worker, now, answer);
     read_running(*worker, now, answer);
-    settle(*worker, sent, answer);
+    settle(*worker, now, sent, answer);
     worker->next_hold =
         worker->listed > worker->cursor ? now + m_settings.commit_patience : base::time_point{};
 }
@@ -92,9 +94,13 @@
             watch_progress(worker, now, row);
             continue;
         }
-        // A gang's members end by themselves once one of them is done.
+        // A gang's members end by themselves once one of them is done, so they get some time.
         const auto* const task = m_ledger.find(row.run.task);
-        if (task == nullptr || !task->done || task->attempt != row.run.attempt) {
+        const bool ends_soon = task != nullptr && task->done && task->attempt == row.run.attempt &&
+                               now - worker.moved.try_emplace(row.run, progress{row.percent, now})
+                                           .first->second.moved <
+                                   m_settings.gang_end_time;
+        if (!ends_soon) {
             send_stop(worker, now, row.run);
         }
     }
@@ -102,8 +108,7 @@
 
 void worker_table::watch_progress(entry& worker, base::time_point now, const running_row& row)
 {
-    const auto& step =
-        m_ledger.find(row.run.task.job)->spec.steps[row.run.task.step];
+    const auto& step = m_ledger.find(row.run.task.job)->spec.steps[row.run.task.step];
     auto& last = worker.moved.try_emplace(row.run, progress{row.percent, now}).first->second;
     if (row.percent != last.percent || step.long_running || step.fills) {
         last = {row.percent, now};
@@ -121,13 +126,17 @@
 }
 
 // What the lists lack and can't begin any more has ended unseen or never began.
-void worker_table::settle(entry& worker, base::time_point sent, const hold_answer& answer)
+void worker_table::settle(entry& worker, base::time_point now, base::time_point sent,
+                          const hold_answer& answer)
 {
     for (const auto& key : m_ledger.placed_on(worker.info.id)) {
         const auto& task = *m_ledger.find(key);
         const run_key run{key, task.attempt};
-        if (task.born != worker.info.born || worker.running.contains(run) ||
-            worker.ending.contains(run)) {
+        if (worker.running.contains(run) || worker.ending.contains(run)) {
+            continue;
+        }
+        if (task.born != worker.info.born) {
+            settle_other_life(worker, now, sent, run);
             continue;
         }
         const auto start = worker.starts.find(run);
@@ -146,6 +155,20 @@
     }
 }
 
+// This life answered under the present token, so orders of earlier leaders have no effect on it.
+// One of this leader that was under way when the worker started again may still come.
+void worker_table::settle_other_life(entry& worker, base::time_point now, base::time_point sent,
+                                     const run_key& run)
+{
+    const auto carried = worker.carried.find(run);
+    if (carried == worker.carried.end() || (carried->second && *carried->second < sent)) {
+        report(worker, run, end_kind::lost);
+    }
+    else if (!carried->second) {
+        send_stop(worker, now, run);
+    }
+}
+
 void worker_table::judge(entry& worker, base::time_point now, const run_key& run, end_kind how)
 {
     if (how == end_kind::done) {
@@ -169,14 +192,14 @@
         m_settings.quarantine_fraction * static_cast<double>(m_workers.size())) {
         return;
     }
-    const auto time = std::min(m_settings.quarantine_max,
-                               m_settings.quarantine_first * (1 << std::min(worker.quarantines, 4U)));
+    const auto time =
+        std::min(m_settings.quarantine_max,
+                 m_settings.quarantine_first * (1 << std::min(worker.quarantines, 4U)));
     ++worker.quarantines;
     worker.failed_jobs.clear();
     worker.quarantined_until = now + time;
     m_out.notes.push_back({"worker_quarantined", job,
-                           absl::StrCat("worker=", worker.info.id.str(),
-                                        " ms=", time.count())});
+                           absl::StrCat("worker=", worker.info.id.str(), " ms=", time.count())});
 }
 
 void worker_table::tick(base::time_point now)
@@ -185,7 +208,7 @@
     for (auto& [id, worker] : m_workers) {
         const bool has_placements = !m_ledger.placed_on(id).empty();
         if (now >= worker.lease_end && has_placements) {
-            end_placements(worker, end_kind::lapsed, false);
+            end_placements(worker, end_kind::lapsed);
         }
         if (worker.is_removed && !has_placements) {
             forgotten.push_back(id);
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -71,9 +71,11 @@
         begin_life(m_workers[info.id], now, info);
         return;
     }
+    if (info.born < known->info.born) {
+        return;
+    }
     if (known->info.born != info.born) {
         begin_life(*known, now, info);
-        end_placements(*known, end_kind::lost, true);
         return;
     }
     known->info = info;
@@ -82,10 +84,20 @@
 
 void worker_table::begin_life(entry& worker, base::time_point now, const worker_info& info)
 {
-    const auto quarantines = worker.quarantines;
-    worker = entry{};
-    worker.info = info;
-    worker.quarantines = quarantines;
+    entry fresh;
+    fresh.info = info;
+    fresh.quarantines = worker.quarantines;
+    fresh.carried = std::move(worker.carried);
+    for (const auto& [run, start] : worker.starts) {
+        // A start that was answered but never listed may have been carried out by the new life.
+        if (!worker.running.contains(run)) {
+            fresh.carried.emplace(run, std::nullopt);
+        }
+    }
+    for (auto& [run, barred] : fresh.carried) {
+        barred.reset();
+    }
+    worker = std::move(fresh);
     worker.next_hold = now;
     const auto longest = std::chrono::duration<double, std::milli>{m_settings.max_lease} /
                          (1 - m_settings.clock_drift);
@@ -126,12 +138,15 @@
 {
     hold_order order;
     order.to = address(worker);
-    order.cursor = worker.cursor;
+    // The numbers of a life that may have ended mustn't acknowledge ends of the next one.
+    order.cursor = worker.is_silent ? 0 : worker.cursor;
     order.token = m_token;
     // The first hold under this leader only reads, so that the lists are there at once.
-    order.wait = worker.is_fenced && worker.listed == worker.cursor ? m_settings.hold_wait
-                                                                    : milliseconds{0};
-    if (worker.clock_read) {
+    order.wait =
+        worker.is_fenced && worker.listed == worker.cursor ? m_settings.hold_wait : milliseconds{0};
+    // A worker that doesn't answer must be given up once its leases have lapsed, so that holds to
+    // it don't extend them.
+    if (worker.clock_read && !worker.is_silent) {
         const auto lease = std::chrono::duration_cast<worker_time>(
             std::chrono::duration<double, std::milli>{m_settings.max_lease} *
             m_settings.lease_fraction);
@@ -170,8 +185,8 @@
         !worker->is_fenced) {
         return std::nullopt;
     }
-    const auto deadline = clock_now(*worker, now) +
-                          std::chrono::duration_cast<worker_time>(m_settings.start_window);
+    const auto deadline =
+        clock_now(*worker, now) + std::chrono::duration_cast<worker_time>(m_settings.start_window);
     worker->starts[run] = {deadline, std::nullopt, std::nullopt};
     extend(*worker, deadline);
     return deadline;
@@ -192,8 +207,9 @@
         found->second.answered = now;
         return;
     }
-    m_out.notes.push_back(note("start_not_confirmed", run,
-                               absl::StrCat("worker=", id.str(), " outcome=", std::string{name_of(outcome)})));
+    m_out.notes.push_back(
+        note("start_not_confirmed", run,
+             absl::StrCat("worker=", id.str(), " outcome=", std::string{name_of(outcome)})));
     if (outcome == start_outcome::unknown) {
         return;
     }
@@ -201,8 +217,7 @@
     report(*worker, run, end_kind::not_started);
 }
 
-void worker_table::on_stop_done(base::time_point now, const run_key& run,
-                                const base::worker_id& id)
+void worker_table::on_stop_done(base::time_point now, const run_key& run, const base::worker_id& id)
 {
     auto* const worker = find(id);
     if (worker == nullptr) {
@@ -211,6 +226,9 @@
     if (const auto found = worker->starts.find(run); found != worker->starts.end()) {
         found->second.barred = now;
     }
+    if (const auto found = worker->carried.find(run); found != worker->carried.end()) {
+        found->second = now;
+    }
 }
 
 void worker_table::on_cursor_committed(const cursor_move& move)
@@ -229,6 +247,7 @@
     if (auto* const worker = find(id)) {
         worker->ending.erase(run);
         worker->starts.erase(run);
+        worker->carried.erase(run);
         worker->moved.erase(run);
     }
 }
@@ -240,13 +259,10 @@
     }
 }
 
-void worker_table::end_placements(entry& worker, end_kind how, bool only_other_lives)
+void worker_table::end_placements(entry& worker, end_kind how)
 {
     for (const auto& key : m_ledger.placed_on(worker.info.id)) {
-        const auto& task = *m_ledger.find(key);
-        if (!only_other_lives || task.born != worker.info.born) {
-            report(worker, {key, task.attempt}, how);
-        }
+        report(worker, {key, m_ledger.find(key)->attempt}, how);
     }
 }
 
@@ -254,8 +270,8 @@
 {
     const auto* const worker = find(id);
     return worker != nullptr && !worker->is_removed && !worker->info.draining &&
-           worker->is_fenced && worker->heard && now - *worker->heard < m_settings.contact_time &&
-           worker->quarantined_until <= now;
+           worker->is_fenced && !worker->is_silent && worker->heard &&
+           now - *worker->heard < m_settings.contact_time && worker->quarantined_until <= now;
 }
 
 bool worker_table::is_quarantined(base::time_point now, const base::worker_id& id) const
--- /dev/null
+++ b/tests/jobs/worker_table_test.cpp
@@ -0,0 +1,111 @@
+#include "sim_cell.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::jobs;
+using namespace lovagebeam::jobs::test;
+
+/// The only job of a cell whose task has been placed.
+const task_record& only_task(const sim_cell& cell)
+{
+    return cell.records.find(job_number{1})->steps.at(0).tasks.at(0);
+}
+
+job_spec long_job()
+{
+    auto job = simple_job(1, 1, 1'000);
+    job.steps[0].estimate = std::chrono::seconds{30};
+    return job;
+}
+
+class worker_table_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_table_test);
+    CPPUNIT_TEST(worker_gone_for_good_tasks_run_elsewhere);
+    CPPUNIT_TEST(worker_cut_off_task_waits_for_lapse);
+    CPPUNIT_TEST(worker_restarted_task_runs_again_at_once);
+    CPPUNIT_TEST(worker_hangs_task_is_stopped_and_moved);
+    CPPUNIT_TEST(worker_fails_everything_is_quarantined);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against holds that fail and yet put off the lapse of a worker that left, so that its
+    // tasks never ran again (pmpg-beam, mix --seed 576088349965).
+    void worker_gone_for_good_tasks_run_elsewhere()
+    {
+        sim_cell cell{1, {.workers = 3}};
+        cell.submit(long_job());
+        cell.run_for(1s);
+        const auto first = only_task(cell).worker;
+        cell.workers.at(first).is_cut = true;
+        cell.run_for(8s);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
+        CPPUNIT_ASSERT(only_task(cell).worker != first);
+    }
+
+    // Guards against a second run while a worker that is cut off still holds its lease.
+    void worker_cut_off_task_waits_for_lapse()
+    {
+        sim_cell cell{2, {.workers = 3}};
+        cell.submit(long_job());
+        cell.run_for(1s);
+        const auto first = only_task(cell).worker;
+        cell.workers.at(first).is_cut = true;
+        cell.run_for(3s);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, only_task(cell).attempt);
+        cell.run_for(10s);
+        CPPUNIT_ASSERT(cell.violations.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
+    }
+
+    // Guards against waiting for the lapse of leases that ended with the worker's process.
+    void worker_restarted_task_runs_again_at_once()
+    {
+        sim_cell cell{3, {.workers = 3}};
+        cell.submit(long_job());
+        cell.run_for(1s);
+        cell.restart_worker(only_task(cell).worker, true);
+        cell.run_for(4s);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
+    }
+
+    void worker_hangs_task_is_stopped_and_moved()
+    {
+        sim_cell cell{4, {.workers = 3}};
+        for (auto& [id, worker] : cell.workers) {
+            worker.hangs = true;
+        }
+        cell.submit(long_job());
+        cell.run_for(1s);
+        const auto first = only_task(cell).worker;
+        for (auto& [id, worker] : cell.workers) {
+            worker.hangs = false;
+        }
+        cell.run_for(6s);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
+        CPPUNIT_ASSERT(only_task(cell).worker != first);
+    }
+
+    // Guards against a worker that fails what it starts and, being always free, draws all work.
+    void worker_fails_everything_is_quarantined()
+    {
+        sim_cell cell{5, {.workers = 6}};
+        cell.workers.begin()->second.fails_all = true;
+        for (std::uint64_t id = 1; id <= 60; ++id) {
+            cell.submit(simple_job(id, 1, 1'000));
+            cell.run_for(50ms);
+        }
+        cell.run_for(5s);
+        for (const auto& [id, job] : cell.records.jobs()) {
+            CPPUNIT_ASSERT_EQUAL(std::string{"completed"}, std::string{name_of(job.state)});
+        }
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_table_test);
+
+} // namespace
