--- /dev/null
+++ b/bench/jobs_bench/main.cpp
@@ -0,0 +1,298 @@
+#include "lovagebeam/base/random_source.h"
+#include "lovagebeam/jobs/coordinator.h"
+
+#include <absl/strings/str_cat.h>
+#include <boost/program_options.hpp>
+
+#include <chrono>
+#include <cstdint>
+#include <functional>
+#include <iostream>
+#include <map>
+#include <string>
+
+// Measures the processor time that the coordinator and the ledger spend for each task start,
+// against workers without faults. Time is simulated; only the calls into the two are timed.
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::jobs;
+using namespace std::chrono_literals;
+namespace po = boost::program_options;
+
+struct options {
+    std::uint32_t workers = 350;
+    double urgent_per_second = 125;
+    double batch_per_second = 7;
+    double gangs_per_second = 4.3;
+    int seconds = 10;
+    std::uint64_t seed = 1;
+};
+
+class measured_cell {
+public:
+    explicit measured_cell(const options& chosen) : m_options{chosen}, m_random{chosen.seed}
+    {
+        m_catalog->version = 1;
+        m_catalog->pools.emplace("pool", false);
+        add_queue("urgent", 0, {8ms, 110us, 1'500ms});
+        add_queue("gangs", 1, {520ms, 7'400us, 1'500ms});
+        add_queue("batch", 2, {82ms, 1'200us, 1'500ms});
+        for (std::uint32_t i = 0; i < chosen.workers; ++i) {
+            add_worker(i);
+        }
+        m_leader = std::make_unique<coordinator>(coordinator_settings{}, m_ledger, fencing_token{1},
+                                                 m_now, wall());
+        m_leader->on_catalog(m_catalog);
+        run_for(1s);
+    }
+
+    void run()
+    {
+        m_spent = {};
+        m_starts = 0;
+        m_is_loaded = true;
+        run_for(std::chrono::seconds{m_options.seconds});
+        m_is_loaded = false;
+        const double micros = std::chrono::duration<double, std::micro>{m_spent}.count();
+        std::cout << "workers=" << m_options.workers << " starts=" << m_starts
+                  << " starts_per_second=" << m_starts / m_options.seconds
+                  << " microseconds_per_start=" << micros / static_cast<double>(m_starts)
+                  << " core_share=" << micros / 1e6 / m_options.seconds
+                  << " waiting_steps=" << m_leader->ready_steps() << '\n';
+    }
+
+private:
+    struct fake_worker {
+        std::map<run_key, running_row> running;
+        std::vector<finished_row> ends;
+        std::uint64_t last = 0;
+        std::optional<hold_order> waiting;
+        base::time_point hold_sent;
+    };
+
+    void add_queue(const std::string& name, std::uint32_t priority, advice_policy advice)
+    {
+        queue_settings queue;
+        queue.name = name;
+        queue.pool = "pool";
+        queue.priority = priority;
+        queue.advice = advice;
+        m_catalog->queues.push_back(queue);
+    }
+
+    void add_worker(std::uint32_t number)
+    {
+        worker_info info;
+        info.id = base::worker_id{absl::StrCat("i-", number)};
+        info.port = 1;
+        info.pool = "pool";
+        info.capacity = {64'000, 262'144, 0};
+        info.rack = absl::StrCat("r", number / 20);
+        proto::jobs::Batch batch;
+        *batch.add_operations()->mutable_put_worker()->mutable_worker() = to_proto(info);
+        static_cast<void>(m_ledger.apply(batch.SerializeAsString()));
+        m_workers[info.id];
+    }
+
+    [[nodiscard]] base::wall_time wall() const
+    {
+        return base::wall_time{std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch())};
+    }
+
+    template <class Call>
+    void timed(Call call)
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        call();
+        m_spent += std::chrono::steady_clock::now() - begin;
+    }
+
+    void at(base::duration later, std::function<void()> what)
+    {
+        m_actions.emplace(std::pair{m_now + later, ++m_last_action}, std::move(what));
+    }
+
+    void commit(std::uint64_t id, const proto::jobs::Batch& batch)
+    {
+        at(12ms, [this, id, batch] {
+            const auto bytes = batch.SerializeAsString();
+            timed([&] {
+                static_cast<void>(m_ledger.apply(bytes));
+                m_leader->on_applied(m_now, batch);
+                m_leader->on_batch_committed(id);
+            });
+            collect();
+        });
+    }
+
+    void collect()
+    {
+        coordinator_output out;
+        timed([&] { out = m_leader->take(m_now, wall()); });
+        for (const auto& [id, batch] : out.batches) {
+            commit(id, batch);
+        }
+        for (const auto& order : out.starts) {
+            start(order);
+        }
+        for (const auto& order : out.holds) {
+            auto& to = m_workers.at(order.to.worker);
+            to.hold_sent = m_now;
+            to.waiting = order;
+            at(order.wait + 2ms, [this, id = order.to.worker] { answer_hold(id); });
+        }
+        for (const auto& order : out.advice) {
+            at(order.expected, [this, order] {
+                std::vector<advice_row> rows;
+                for (const auto& one : order.workers) {
+                    if (m_random.chance(0.5)) {
+                        rows.push_back({one, "ticket"});
+                    }
+                }
+                timed([&] { m_leader->on_advice(m_now, order.id, rows); });
+                collect();
+            });
+        }
+    }
+
+    void start(const start_order& order)
+    {
+        ++m_starts;
+        const auto& step = m_ledger.find(order.run.task.job)->spec.steps[order.run.task.step];
+        at(2ms, [this, order, estimate = step.estimate] {
+            m_workers.at(order.to.worker).running[order.run] = {order.run, "", 0, std::nullopt};
+            timed([&] {
+                m_leader->on_start_answer(m_now, order.run, order.to.worker,
+                                          start_outcome::started);
+            });
+            at(estimate, [this, order] {
+                auto& worker = m_workers.at(order.to.worker);
+                worker.running.erase(order.run);
+                worker.ends.push_back({++worker.last, order.run, end_kind::done, ""});
+                answer_hold(order.to.worker);
+            });
+        });
+    }
+
+    void answer_hold(const base::worker_id& id)
+    {
+        auto& worker = m_workers.at(id);
+        if (!worker.waiting) {
+            return;
+        }
+        const auto order = *std::exchange(worker.waiting, std::nullopt);
+        std::erase_if(worker.ends, [&](const auto& row) { return row.number <= order.cursor; });
+        hold_answer answer;
+        answer.clock = std::chrono::duration_cast<worker_time>(m_now.time_since_epoch());
+        for (auto& [run, row] : worker.running) {
+            row.percent = (row.percent + 1) % 100;
+            answer.running.push_back(row);
+        }
+        answer.finished = worker.ends;
+        timed([&] {
+            m_leader->on_hold_done(m_now, worker.hold_sent, order.to, hold_outcome::answered,
+                                   answer);
+        });
+        collect();
+    }
+
+    void submit(const char* queue, std::uint32_t priority, std::uint32_t tasks,
+                std::int64_t millicores, milliseconds time, bool gang)
+    {
+        job_spec job;
+        job.id = job_number{m_random.next()};
+        job.queue = queue;
+        job.account = "account";
+        job.pool = "pool";
+        job.priority = priority;
+        job.max_attempts = 4;
+        step_spec step;
+        step.tasks = tasks;
+        step.size = {millicores, 4'000, 0};
+        step.estimate = time;
+        step.gang = gang;
+        job.steps.push_back(step);
+        proto::jobs::Batch batch;
+        *batch.add_operations()->mutable_accept()->mutable_spec() = to_proto(job);
+        timed([&] { m_leader->on_submission(m_now, job); });
+        commit(0, batch);
+    }
+
+    void submit_load(double seconds)
+    {
+        if (m_random.chance(m_options.urgent_per_second * seconds)) {
+            submit("urgent", 0, 3, 9'900, 640ms, false);
+        }
+        if (m_random.chance(m_options.gangs_per_second * seconds)) {
+            submit("gangs", 1, 20, 18'000, 5'000ms, true);
+        }
+        if (m_random.chance(m_options.batch_per_second * seconds)) {
+            submit("batch", 2, 37, 6'900, 3'400ms, false);
+        }
+    }
+
+    void run_for(base::duration time)
+    {
+        constexpr auto step = 1ms;
+        const auto until = m_now + time;
+        while (m_now < until) {
+            m_now += step;
+            if (m_is_loaded) {
+                submit_load(std::chrono::duration<double>{step}.count());
+            }
+            while (!m_actions.empty() && m_actions.begin()->first.first <= m_now) {
+                const auto next = std::move(m_actions.begin()->second);
+                m_actions.erase(m_actions.begin());
+                next();
+            }
+            if (m_now.time_since_epoch() % 10ms == base::duration{0}) {
+                for (int agent = 0; agent < 44; ++agent) {
+                    m_leader->on_agent(m_now, base::node_id{absl::StrCat("e", agent)});
+                }
+                timed([&] { m_leader->tick(m_now, wall()); });
+                collect();
+            }
+        }
+    }
+
+    options m_options;
+    base::random_source m_random;
+    std::shared_ptr<catalog> m_catalog = std::make_shared<catalog>();
+    ledger m_ledger;
+    std::unique_ptr<coordinator> m_leader;
+    std::map<base::worker_id, fake_worker> m_workers;
+    std::map<std::pair<base::time_point, std::uint64_t>, std::function<void()>> m_actions;
+    std::uint64_t m_last_action = 0;
+    base::time_point m_now{std::chrono::hours{1}};
+    base::duration m_spent{};
+    std::uint64_t m_starts = 0;
+    bool m_is_loaded = false;
+};
+
+} // namespace
+
+int main(int argc, char** argv)
+{
+    options chosen;
+    po::options_description description{"Options"};
+    description.add_options()("help", "show this text")(
+        "workers", po::value(&chosen.workers)->default_value(chosen.workers))(
+        "urgent", po::value(&chosen.urgent_per_second)->default_value(chosen.urgent_per_second),
+        "urgent jobs a second")(
+        "batch", po::value(&chosen.batch_per_second)->default_value(chosen.batch_per_second),
+        "batch jobs a second")(
+        "gangs", po::value(&chosen.gangs_per_second)->default_value(chosen.gangs_per_second),
+        "gangs a second")("seconds", po::value(&chosen.seconds)->default_value(chosen.seconds))(
+        "seed", po::value(&chosen.seed)->default_value(chosen.seed));
+    po::variables_map values;
+    po::store(po::parse_command_line(argc, argv, description), values);
+    if (values.count("help") != 0) {
+        std::cout << description;
+        return 0;
+    }
+    po::notify(values);
+    measured_cell{chosen}.run();
+    return 0;
+}
--- a/include/lovagebeam/controlplane/core_host.h
+++ b/include/lovagebeam/controlplane/core_host.h
@@ -18,8 +18,8 @@
 public:
     struct parts {
         settings::process_settings settings;
-        worker_port* workers = nullptr;         ///< must outlive the host
-        const document_codec* codec = nullptr;  ///< must outlive the host
+        worker_port* workers = nullptr;        ///< must outlive the host
+        const document_codec* codec = nullptr; ///< must outlive the host
         telemetry::metrics_registry* metrics = nullptr;
     };
 
--- /dev/null
+++ b/include/lovagebeam/controlplane/metrics_endpoint.h
@@ -0,0 +1,18 @@
+#pragma once
+
+#include "lovagebeam/callers/http_server.h"
+#include "lovagebeam/settings/process_settings.h"
+#include "lovagebeam/telemetry/metrics.h"
+
+#include <absl/status/statusor.h>
+
+#include <memory>
+
+namespace lovagebeam::controlplane {
+
+/// Builds the server that shows the metrics as text, on a thread of its own, so that it answers
+/// while the process is overloaded. `metrics` must outlive it.
+absl::StatusOr<std::unique_ptr<callers::http_server>>
+make_metrics_server(const settings::endpoint& listen, telemetry::metrics_registry& metrics);
+
+} // namespace lovagebeam::controlplane
--- a/include/lovagebeam/jobs/advice_desk.h
+++ b/include/lovagebeam/jobs/advice_desk.h
@@ -58,9 +58,11 @@
                                       const std::optional<std::vector<advice_row>>& rows);
 
     [[nodiscard]] const knowledge* find(const step_key& step) const;
-    /// Returns the ticket of `worker` for `step` if it can still be used at `now`.
-    [[nodiscard]] const ticket* valid_ticket(base::time_point now, const step_key& step,
-                                             const base::worker_id& worker) const;
+    /// Whether the ticket can still be used at `now`.
+    [[nodiscard]] bool is_valid(base::time_point now, const ticket& given) const
+    {
+        return given.valid_until > now + m_settings.ticket_margin;
+    }
     /// A worker refused a ticket.
     void drop_ticket(const step_key& step, const base::worker_id& worker);
     void forget(const step_key& step);
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace lovagebeam::jobs {
@@ -28,6 +29,8 @@
     milliseconds retry_max{1'600};
     /// A job past this many objectives is served after those that can still be in time.
     double hopeless_objectives = 3;
+    /// Planning passes are at least this far apart, so that what comes meanwhile shares one.
+    milliseconds plan_interval{4};
     /// Jobs that have ended are kept this long.
     milliseconds retention{150'000};
     milliseconds forget_interval{5'000};
@@ -149,6 +152,13 @@
     // Planning.
     void plan(base::time_point now, base::wall_time wall);
     void list_candidates(base::time_point now);
+    /// Whether one task of the step fits on some candidate at all.
+    [[nodiscard]] bool may_fit(const planned_step& step) const;
+    /// Calls `visit` with each candidate that advice allows under `rule`, or with all of them for
+    /// a queue without advice.
+    template <class Visit>
+    void for_each_allowed(base::time_point now, const planned_step& step, ticket_rule rule,
+                          Visit visit);
     void plan_step(base::time_point now, const step_key& key, ready_step& ready);
     std::vector<assignment> assign(base::time_point now, const planned_step& step,
                                    ticket_rule rule);
@@ -157,10 +167,8 @@
     std::vector<assignment> assign_within(base::time_point now, const planned_step& step,
                                           ticket_rule rule, const std::string* rack);
     candidate_worker* choose(base::time_point now, const planned_step& step, ticket_rule rule,
-                      const std::string* rack,
-                      const std::map<base::worker_id, std::uint32_t>& counts);
-    [[nodiscard]] bool is_allowed(base::time_point now, const planned_step& step,
-                                  const base::worker_id& worker, ticket_rule rule) const;
+                             const std::string* rack,
+                             const std::map<base::worker_id, std::uint32_t>& counts);
     void ask_advice(base::time_point now, const planned_step& step, const ready_step& ready);
     void ask_about(base::time_point now, const step_key& key, const job_spec& job,
                    const std::string& pool, const advice_policy& policy, base::wall_time due_by);
@@ -192,6 +200,10 @@
     std::map<step_key, reservation> m_reserved;
     std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
     std::vector<candidate_worker> m_candidates;
+    std::unordered_map<base::worker_id, std::size_t> m_candidate_index;
+    std::map<std::string, std::int64_t> m_largest_free; ///< millicores on one worker of the pool
+    base::time_point m_listed_at;                       ///< when the candidates were listed
+    base::time_point m_next_plan;
     std::map<std::string, size> m_pool_free;
     std::map<std::string, size> m_pool_capacity;
     proto::jobs::Batch m_batch;
--- a/include/lovagebeam/jobs/ledger.h
+++ b/include/lovagebeam/jobs/ledger.h
@@ -61,8 +61,8 @@
 class ledger {
 public:
     /// Applies a serialized `proto::jobs::Batch`. Operations that no longer fit (a resent job, an
-    /// end that is known already) change nothing. Fails with `invalid_request` for bytes that aren't
-    /// a batch.
+    /// end that is known already) change nothing. Fails with `invalid_request` for bytes that
+    /// aren't a batch.
     absl::Status apply(std::string_view bytes);
 
     [[nodiscard]] std::string encode() const;
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -106,8 +106,7 @@
     [[nodiscard]] bool is_usable(base::time_point now, const base::worker_id& id) const;
     [[nodiscard]] bool is_quarantined(base::time_point now, const base::worker_id& id) const;
     /// The rows that the worker last listed as running; empty for an unknown worker.
-    [[nodiscard]] const std::map<run_key, running_row>&
-    running_on(const base::worker_id& id) const;
+    [[nodiscard]] const std::map<run_key, running_row>& running_on(const base::worker_id& id) const;
     [[nodiscard]] std::optional<worker_address> address_of(const base::worker_id& id) const;
 
     /// Returns and clears what the calls since the last one led to.
--- a/include/lovagebeam/telemetry/log.h
+++ b/include/lovagebeam/telemetry/log.h
@@ -12,8 +12,7 @@
 
 /// Starts logging to a standard stream from a thread of its own, with events below `lowest` left
 /// out. `node` appears in each line. Call once, before other threads start.
-void start_logging(severity lowest, std::string_view node,
-                   log_stream stream = log_stream::error);
+void start_logging(severity lowest, std::string_view node, log_stream stream = log_stream::error);
 
 /// Writes what is waiting and stops logging. Events after that are lost.
 void stop_logging();
--- /dev/null
+++ b/include/lovagebeam/telemetry/log_budget.h
@@ -0,0 +1,48 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+namespace lovagebeam::telemetry {
+
+/// Most that one process logs. A part is kept for warnings and errors, which the routine lines
+/// of a busy second can't use up.
+struct log_limits {
+    double lines_per_second = 4'000;
+    double bytes_per_second = 1'000'000;
+    /// Part of both that only warnings and errors take.
+    double reserved = 0.25;
+};
+
+/// Decides which lines are written. No I/O and no clock. Not thread-safe.
+class log_budget {
+public:
+    explicit log_budget(const log_limits& limits);
+
+    /// Whether a line of `bytes` may be written at `now`; counts it as left out otherwise.
+    bool admit(base::time_point now, severity level, std::size_t bytes);
+
+    /// Returns the number of lines that were left out since the last call.
+    std::uint64_t take_left_out();
+
+private:
+    struct bucket {
+        double lines = 0;
+        double bytes = 0;
+    };
+
+    void refill(base::time_point now);
+
+    log_limits m_limits;
+    bucket m_routine;
+    bucket m_important;
+    base::time_point m_filled;
+    bool m_is_started = false;
+    std::uint64_t m_left_out = 0;
+};
+
+} // namespace lovagebeam::telemetry
--- a/programs/lovagebeam/core_process.cpp
+++ b/programs/lovagebeam/core_process.cpp
@@ -1,6 +1,7 @@
 #include "core_process.h"
 
 #include "lovagebeam/controlplane/core_host.h"
+#include "lovagebeam/controlplane/metrics_endpoint.h"
 #include "lovagebeam/telemetry/log.h"
 #include "lovagebeam/telemetry/metrics.h"
 
@@ -55,6 +56,10 @@
     if (status.ok() && control) {
         status = control->start();
     }
+    std::unique_ptr<callers::http_server> metrics_server;
+    if (status.ok()) {
+        status = start_metrics(context, metrics, metrics_server);
+    }
     if (!report_start(context, "core", status.ok(), std::string{status.message()})) {
         return exit_failed;
     }
--- a/programs/lovagebeam/entry_process.cpp
+++ b/programs/lovagebeam/entry_process.cpp
@@ -1,12 +1,14 @@
 #include "entry_process.h"
 
 #include "lovagebeam/controlplane/entry_host.h"
+#include "lovagebeam/controlplane/metrics_endpoint.h"
 #include "lovagebeam/telemetry/log.h"
 #include "lovagebeam/telemetry/metrics.h"
 
 #include "control_api.h"
 #include "worker_calls.h"
 
+#include <memory>
 #include <string>
 #include <utility>
 
@@ -37,6 +39,10 @@
     if (status.ok()) {
         status = (*host)->start();
     }
+    std::unique_ptr<callers::http_server> metrics_server;
+    if (status.ok()) {
+        status = start_metrics(context, metrics, metrics_server);
+    }
     if (!report_start(context, "entry", status.ok(), std::string{status.message()})) {
         return exit_failed;
     }
--- a/programs/lovagebeam/main.cpp
+++ b/programs/lovagebeam/main.cpp
@@ -1,9 +1,9 @@
-#include "core_process.h"
-#include "entry_process.h"
-
 #include "lovagebeam/settings/process_settings.h"
 #include "lovagebeam/telemetry/log.h"
 
+#include "core_process.h"
+#include "entry_process.h"
+
 #include <boost/program_options.hpp>
 
 #include <csignal>
@@ -59,8 +59,8 @@
     po::positional_options_description positions;
     positions.add("role", 1);
     po::variables_map values;
-    po::store(
-        po::command_line_parser(argc, argv).options(options).positional(positions).run(), values);
+    po::store(po::command_line_parser(argc, argv).options(options).positional(positions).run(),
+              values);
     if (values.count("help") != 0) {
         std::cout << options;
         return std::nullopt;
--- a/programs/lovagebeam/process_context.cpp
+++ b/programs/lovagebeam/process_context.cpp
@@ -1,5 +1,6 @@
 #include "process_context.h"
 
+#include "lovagebeam/controlplane/metrics_endpoint.h"
 #include "lovagebeam/telemetry/log.h"
 
 #include <iostream>
@@ -44,6 +45,20 @@
     }
 }
 
+absl::Status start_metrics(const process_context& context, telemetry::metrics_registry& metrics,
+                           std::unique_ptr<callers::http_server>& server)
+{
+    if (!context.settings.metrics) {
+        return absl::OkStatus();
+    }
+    auto built = controlplane::make_metrics_server(*context.settings.metrics, metrics);
+    if (!built.ok()) {
+        return built.status();
+    }
+    server = *std::move(built);
+    return server->start();
+}
+
 bool report_start(const process_context& context, const char* role, bool is_ok,
                   const std::string& error)
 {
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -67,6 +67,19 @@
     return out;
 }
 
+std::string_view name_of(caller_service::commit_outcome outcome)
+{
+    switch (outcome) {
+    case caller_service::commit_outcome::committed:
+        return "committed";
+    case caller_service::commit_outcome::refused:
+        return "refused";
+    case caller_service::commit_outcome::in_doubt:
+        return "in_doubt";
+    }
+    return "unknown";
+}
+
 void log_refusal(const pb::CallerCall& call, unsigned status, std::string_view why)
 {
     log_event{severity::info, "request_refused"}
@@ -163,7 +176,19 @@
     *operation.mutable_accept()->mutable_spec() = jobs::to_proto(*spec);
     operation.mutable_accept()->set_accepted_ms(wall_now().time_since_epoch().count());
     m_submissions[about.job].push_back(std::move(reply));
-    m_parts.commit(now, std::move(operation), [this, id = about.job](commit_outcome outcome) {
+    std::uint32_t tasks = 0;
+    for (const auto& step : spec->steps) {
+        tasks += step.tasks;
+    }
+    log_event line{severity::info, "job_submitted"};
+    line.with("job", jobs::job_text(about.job))
+        .with("queue", spec->queue)
+        .with("account", spec->account)
+        .with("steps", spec->steps.size())
+        .with("tasks", tasks);
+    m_parts.commit(now, std::move(operation), [this, id = about.job, line](commit_outcome outcome) {
+        auto ended = line;
+        ended.with("outcome", name_of(outcome)).write();
         finish_submission(id, outcome);
     });
 }
@@ -205,10 +230,9 @@
     }
     proto::jobs::Operation operation;
     operation.mutable_cancel()->set_job(about.job.value());
-    m_parts.commit(now, std::move(operation),
-                   [reply = std::move(reply)](commit_outcome outcome) {
-                       reply(answer_of(outcome));
-                   });
+    m_parts.commit(now, std::move(operation), [reply = std::move(reply)](commit_outcome outcome) {
+        reply(answer_of(outcome));
+    });
 }
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/core_control.cpp
+++ b/src/controlplane/core_control.cpp
@@ -31,9 +31,8 @@
 void core_parts::report_worker(worker_report report, control_done done)
 {
     auto shared = std::make_shared<worker_report>(std::move(report));
-    if (!m_loop.try_post([this, shared, done](base::time_point now) {
-            handle_report(now, *shared, done);
-        })) {
+    if (!m_loop.try_post(
+            [this, shared, done](base::time_point now) { handle_report(now, *shared, done); })) {
         done({});
     }
 }
@@ -48,8 +47,8 @@
     const auto& known = records().workers();
     const auto found = known.find(report.info.id);
     auto& sequence = m_sequences[{report.info.id, report.info.born}];
-    const bool is_old =
-        report.sequence < sequence || (found != known.end() && report.info.born < found->second.born);
+    const bool is_old = report.sequence < sequence ||
+                        (found != known.end() && report.info.born < found->second.born);
     if (is_old) {
         done(done_answer());
         return;
@@ -73,18 +72,18 @@
         .write();
     proto::jobs::Operation operation;
     *operation.mutable_put_worker()->mutable_worker() = jobs::to_proto(info);
-    commit(now, std::move(operation), [this, done, id = info.id, clock = report.clock,
-                                       at = now](commit_outcome outcome) {
-        if (outcome == commit_outcome::committed) {
-            if (m_coordinator) {
-                m_coordinator->on_clock(at, id, clock);
-            }
-            done(done_answer());
-        }
-        else {
-            done({});
-        }
-    });
+    commit(now, std::move(operation),
+           [this, done, id = info.id, clock = report.clock, at = now](commit_outcome outcome) {
+               if (outcome == commit_outcome::committed) {
+                   if (m_coordinator) {
+                       m_coordinator->on_clock(at, id, clock);
+                   }
+                   done(done_answer());
+               }
+               else {
+                   done({});
+               }
+           });
 }
 
 void core_parts::remove_worker(base::worker_id id, base::wall_time born, control_done done)
@@ -107,9 +106,8 @@
 void core_parts::put_catalog(std::string document, control_done done)
 {
     auto shared = std::make_shared<std::string>(std::move(document));
-    m_loop.post_completion([this, shared, done](base::time_point now) {
-        handle_catalog(now, *shared, done);
-    });
+    m_loop.post_completion(
+        [this, shared, done](base::time_point now) { handle_catalog(now, *shared, done); });
 }
 
 void core_parts::handle_catalog(base::time_point now, const std::string& document,
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -131,8 +131,7 @@
         if (known.empty()) {
             return;
         }
-        to = *std::next(known.begin(),
-                        static_cast<std::ptrdiff_t>(m_next_core++ % known.size()));
+        to = *std::next(known.begin(), static_cast<std::ptrdiff_t>(m_next_core++ % known.size()));
     }
     pb::CoreHello hello;
     hello.set_core(m_settings.address);
--- a/src/controlplane/core_host.cpp
+++ b/src/controlplane/core_host.cpp
@@ -66,8 +66,7 @@
         voters = *std::move(found);
     }
     const auto settings = log_settings(given.settings, voters);
-    const bool is_first =
-        std::ranges::find(voters, given.settings.address) != voters.end();
+    const bool is_first = std::ranges::find(voters, given.settings.address) != voters.end();
     if (auto status = prepare_log(settings, is_first, *files); !status.ok()) {
         return status;
     }
@@ -76,9 +75,8 @@
     if (!log.ok()) {
         return log.status();
     }
-    return std::unique_ptr<core_host>{
-        std::make_unique<core_parts>(std::move(given), settings, run, std::move(files),
-                                     *std::move(log))};
+    return std::unique_ptr<core_host>{std::make_unique<core_parts>(
+        std::move(given), settings, run, std::move(files), *std::move(log))};
 }
 
 } // namespace lovagebeam::controlplane
--- /dev/null
+++ b/src/controlplane/core_metrics.cpp
@@ -0,0 +1,118 @@
+#include "core_metrics.h"
+
+#include <chrono>
+#include <string>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+std::string labelled(std::string_view name, std::string_view label, std::string_view value)
+{
+    std::string out{name};
+    out.append("{").append(label).append("=\"").append(value).append("\"}");
+    return out;
+}
+
+double seconds(base::duration time)
+{
+    return std::chrono::duration<double>{time}.count();
+}
+
+} // namespace
+
+void core_metrics::count(std::string_view name, std::string_view label, std::string_view value)
+{
+    m_registry.counter_named(labelled(name, label, value)).add(1);
+}
+
+void core_metrics::record(std::string_view name, std::string_view label, std::string_view value,
+                          base::duration took)
+{
+    m_registry.histogram_named(labelled(name, label, value)).record(seconds(took));
+}
+
+void core_metrics::on_applied(const jobs::ledger& records, const proto::jobs::Batch& batch,
+                              base::wall_time wall)
+{
+    for (const auto& operation : batch.operations()) {
+        if (operation.has_accept()) {
+            count("lovagebeam_jobs_accepted_total", "queue", operation.accept().spec().queue());
+        }
+        else if (operation.has_place()) {
+            const auto run = jobs::from_proto(operation.place().placements(0).task());
+            const auto* const job = records.find(run.task.job);
+            if (job != nullptr && run.attempt == 1 && run.task.step == 0) {
+                record("lovagebeam_first_placement_seconds", "queue", job->spec.queue,
+                       wall - job->accepted);
+            }
+        }
+        else if (operation.has_end()) {
+            const auto run = jobs::from_proto(operation.end().task());
+            count("lovagebeam_runs_ended_total", "how",
+                  proto::jobs::EndKind_Name(operation.end().how()));
+            const auto* const job = records.find(run.task.job);
+            const bool ended_now = job != nullptr && is_final(job->state) &&
+                                   job->ended.time_since_epoch().count() == batch.time_ms();
+            if (ended_now) {
+                record("lovagebeam_job_seconds", "queue", job->spec.queue,
+                       job->ended - job->accepted);
+                count("lovagebeam_jobs_ended_total", "state", jobs::name_of(job->state));
+            }
+        }
+    }
+}
+
+void core_metrics::on_commit(base::duration took)
+{
+    m_registry.histogram_named("lovagebeam_commit_seconds").record(seconds(took));
+}
+
+void core_metrics::on_start_call(jobs::start_outcome outcome, base::duration took)
+{
+    record("lovagebeam_start_call_seconds", "outcome", jobs::name_of(outcome), took);
+}
+
+void core_metrics::on_advice_call(bool is_answered, base::duration took)
+{
+    record("lovagebeam_advice_call_seconds", "outcome", is_answered ? "answered" : "failed", took);
+}
+
+void core_metrics::on_refusal(unsigned status)
+{
+    count("lovagebeam_requests_refused_total", "status", std::to_string(status));
+}
+
+void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
+                          base::time_point now)
+{
+    m_registry.gauge_named("lovagebeam_is_leader").set(leader == nullptr ? 0 : 1);
+    m_registry.gauge_named("lovagebeam_configuration_version")
+        .set(static_cast<double>(records.catalog_version()));
+    m_registry.gauge_named("lovagebeam_open_jobs")
+        .set(static_cast<double>(records.open_jobs().size()));
+    double usable = 0;
+    double draining = 0;
+    double quarantined = 0;
+    jobs::size capacity;
+    jobs::size used;
+    for (const auto& [id, info] : records.workers()) {
+        usable += leader != nullptr && leader->workers().is_usable(now, id) ? 1 : 0;
+        quarantined += leader != nullptr && leader->workers().is_quarantined(now, id) ? 1 : 0;
+        draining += info.draining ? 1 : 0;
+        capacity += info.capacity;
+        used += records.used_on(id);
+    }
+    m_registry.gauge_named("lovagebeam_workers{state=\"known\"}")
+        .set(static_cast<double>(records.workers().size()));
+    m_registry.gauge_named("lovagebeam_workers{state=\"usable\"}").set(usable);
+    m_registry.gauge_named("lovagebeam_workers{state=\"draining\"}").set(draining);
+    m_registry.gauge_named("lovagebeam_workers{state=\"quarantined\"}").set(quarantined);
+    m_registry.gauge_named("lovagebeam_capacity_millicores")
+        .set(static_cast<double>(capacity.millicores));
+    m_registry.gauge_named("lovagebeam_booked_millicores")
+        .set(static_cast<double>(used.millicores));
+    m_registry.gauge_named("lovagebeam_waiting_steps")
+        .set(leader == nullptr ? 0 : static_cast<double>(leader->ready_steps()));
+}
+
+} // namespace lovagebeam::controlplane
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -34,6 +34,8 @@
 constexpr std::chrono::milliseconds handover_time{400};
 /// An entry process answers an advice call in this time beyond that of the service.
 constexpr std::chrono::milliseconds agent_time{300};
+constexpr unsigned first_error_status = 400;
+constexpr std::chrono::seconds metrics_interval{1};
 constexpr std::size_t internal_body_bytes = std::size_t{2} << 20U;
 
 base::wall_time wall_now()
@@ -63,7 +65,7 @@
                        std::uint64_t run, std::unique_ptr<storage::file_system> files,
                        daemon::opened_log log)
     : m_settings{std::move(given.settings)}, m_worker_port{*given.workers}, m_codec{*given.codec},
-      m_metrics{*given.metrics}, m_files{std::move(files)}, m_loop{&base::boot_time},
+      m_metrics{*given.metrics}, m_core_metrics{m_metrics}, m_files{std::move(files)}, m_loop{&base::boot_time},
       m_links{log_settings, std::string{system_name}, run, m_loop, m_metrics},
       m_writer{daemon::make_writer(std::move(log.store), m_loop)},
       m_log{{log_settings.node, std::move(log.replica), std::move(log.state),
@@ -104,13 +106,13 @@
     }
     m_server = *std::move(server);
     m_client.start();
-    auto status = m_links.start({[this](auto now, const auto&, auto& message) {
-                                     if (message.has_consensus()) {
-                                         m_log.on_consensus(
-                                             now, std::move(*message.mutable_consensus()));
-                                     }
-                                 },
-                                 [](auto, const auto&, auto) {}, [](auto, const auto&) {}});
+    auto status =
+        m_links.start({[this](auto now, const auto&, auto& message) {
+                           if (message.has_consensus()) {
+                               m_log.on_consensus(now, std::move(*message.mutable_consensus()));
+                           }
+                       },
+                       [](auto, const auto&, auto) {}, [](auto, const auto&) {}});
     if (!status.ok()) {
         return status;
     }
@@ -146,6 +148,7 @@
     read_catalog();
     proto::jobs::Batch batch;
     if (m_coordinator && batch.ParseFromString(command.job_batch())) {
+        m_core_metrics.on_applied(records(), batch, wall_now());
         m_coordinator->on_applied(now, batch);
     }
 }
@@ -205,6 +208,10 @@
     if (m_coordinator) {
         m_coordinator->tick(now, wall_now());
     }
+    if (now - m_last_metrics >= metrics_interval) {
+        m_last_metrics = now;
+        m_core_metrics.update(records(), m_coordinator.get(), now);
+    }
 }
 
 void core_parts::lead(base::time_point now)
@@ -271,8 +278,8 @@
     }
 }
 
-void core_parts::post_to_coordinator(
-    std::uint64_t generation, std::function<void(base::time_point, jobs::coordinator&)> work)
+void core_parts::post_to_coordinator(std::uint64_t generation,
+                                     std::function<void(base::time_point, jobs::coordinator&)> work)
 {
     m_loop.post_completion([this, generation, work = std::move(work)](base::time_point now) {
         if (m_coordinator && m_generation == generation) {
@@ -281,11 +288,12 @@
     });
 }
 
-void core_parts::send(base::time_point, const jobs::start_order& order)
+void core_parts::send(base::time_point sent, const jobs::start_order& order)
 {
-    m_worker_port.start(order, [this, generation = m_generation, run = order.run,
+    m_worker_port.start(order, [this, sent, generation = m_generation, run = order.run,
                                 worker = order.to.worker](jobs::start_outcome outcome) {
-        post_to_coordinator(generation, [=](base::time_point now, jobs::coordinator& to) {
+        post_to_coordinator(generation, [=, this](base::time_point now, jobs::coordinator& to) {
+            m_core_metrics.on_start_call(outcome, now - sent);
             to.on_start_answer(now, run, worker, outcome);
         });
     });
@@ -305,14 +313,12 @@
 
 void core_parts::send(base::time_point now, const jobs::hold_order& order)
 {
-    m_worker_port.hold(order, [this, generation = m_generation, sent = now,
-                               to = order.to](jobs::hold_outcome outcome,
-                                              jobs::hold_answer answer) {
-        post_to_coordinator(generation,
-                            [sent, to, outcome, answer = std::move(answer)](
-                                base::time_point when, jobs::coordinator& coordinator) {
-                                coordinator.on_hold_done(when, sent, to, outcome, answer);
-                            });
+    m_worker_port.hold(order, [this, generation = m_generation, sent = now, to = order.to](
+                                  jobs::hold_outcome outcome, jobs::hold_answer answer) {
+        post_to_coordinator(generation, [sent, to, outcome, answer = std::move(answer)](
+                                            base::time_point when, jobs::coordinator& coordinator) {
+            coordinator.on_hold_done(when, sent, to, outcome, answer);
+        });
     });
 }
 
@@ -329,8 +335,8 @@
     post_message<pb::AdviceAnswer>(
         m_client, order.agent.str(), entry_port(m_settings), advice_path, request,
         order.expected + agent_time,
-        [this, generation = m_generation,
-         id = order.id](std::optional<pb::AdviceAnswer> answer, call_failure) {
+        [this, generation = m_generation, id = order.id](std::optional<pb::AdviceAnswer> answer,
+                                                         call_failure) {
             std::optional<std::vector<jobs::advice_row>> rows;
             if (answer && answer->answered()) {
                 rows.emplace();
@@ -338,8 +344,8 @@
                     rows->push_back({base::worker_id{row.worker()}, row.ticket()});
                 }
             }
-            post_to_coordinator(generation, [id, rows = std::move(rows)](
-                                                base::time_point now, jobs::coordinator& to) {
+            post_to_coordinator(generation, [id, rows = std::move(rows)](base::time_point now,
+                                                                         jobs::coordinator& to) {
                 to.on_advice(now, id, rows);
             });
         });
@@ -351,10 +357,12 @@
     command.set_job_batch(batch.SerializeAsString());
     m_log.propose_as_leader(
         now, std::move(command), now + batch_time,
-        [this, generation = m_generation, id](const absl::StatusOr<state::apply_result>& result) {
+        [this, now, generation = m_generation,
+         id](const absl::StatusOr<state::apply_result>& result) {
             if (!m_coordinator || m_generation != generation) {
                 return;
             }
+            m_core_metrics.on_commit(base::boot_time() - now);
             if (result.ok() && result->status.ok()) {
                 m_coordinator->on_batch_committed(id);
                 return;
@@ -440,9 +448,8 @@
         reply(message_response(answer));
         return;
     }
-    m_callers.handle(now, m_catalog.get(), call, [reply](const pb::CallerAnswer& answer) {
-        reply(message_response(answer));
-    });
+    m_callers.handle(now, m_catalog.get(), call,
+                     [reply](const pb::CallerAnswer& answer) { reply(message_response(answer)); });
 }
 
 void core_parts::serve_sync(base::time_point now, const std::string& body,
--- a/src/controlplane/core_parts.h
+++ b/src/controlplane/core_parts.h
@@ -8,6 +8,7 @@
 
 #include "caller_service.h"
 #include "core_group.h"
+#include "core_metrics.h"
 #include "decision_loop.h"
 #include "log_storage.h"
 #include "peer_links.h"
@@ -81,6 +82,8 @@
     worker_port& m_worker_port;
     const document_codec& m_codec;
     telemetry::metrics_registry& m_metrics;
+    core_metrics m_core_metrics;
+    base::time_point m_last_metrics;
     std::unique_ptr<storage::file_system> m_files;
     daemon::decision_loop m_loop;
     targets::http_client m_client;
--- a/src/controlplane/entry_host.cpp
+++ b/src/controlplane/entry_host.cpp
@@ -64,8 +64,8 @@
 public:
     explicit entry_parts(parts given)
         : m_settings{std::move(given.settings)}, m_advice{*given.advice},
-          m_headers{std::move(given.headers)}, m_loop{&base::boot_time},
-          m_link{m_settings, m_client, m_loop}
+          m_headers{std::move(given.headers)}, m_loop{&base::boot_time}, m_link{m_settings,
+                                                                                m_client, m_loop}
     {
     }
 
@@ -81,8 +81,9 @@
     void on_caller(callers::http_request request, const callers::reply& reply);
     void on_readiness(const callers::http_request& request, const callers::reply& reply);
     void on_internal(const callers::http_request& request, const callers::reply& reply);
-    static void answer(const leader_link::outcome& outcome, const callers::reply& reply,
-                       const pb::CallerCall& call);
+    static void answer(const leader_link::outcome& outcome, const callers::reply& reply);
+    void log_answer(const leader_link::outcome& outcome, const pb::CallerCall& call,
+                    base::duration took) const;
     void stop_threads();
 
     settings::process_settings m_settings;
@@ -132,22 +133,27 @@
                     [](base::time_point) {}});
     }};
     const settings::endpoint internal{m_settings.address, entry_port(m_settings)};
-    auto status = listen(internal, caller_body_bytes,
-                         [this](const callers::http_request& request,
-                                const callers::reply& reply) { on_internal(request, reply); },
-                         m_internal);
+    auto status = listen(
+        internal, caller_body_bytes,
+        [this](const callers::http_request& request, const callers::reply& reply) {
+            on_internal(request, reply);
+        },
+        m_internal);
     if (status.ok()) {
-        status = listen(*m_settings.callers, caller_body_bytes,
-                        [this](callers::http_request request, const callers::reply& reply) {
-                            on_caller(std::move(request), reply);
-                        },
-                        m_callers);
+        status = listen(
+            *m_settings.callers, caller_body_bytes,
+            [this](callers::http_request request, const callers::reply& reply) {
+                on_caller(std::move(request), reply);
+            },
+            m_callers);
     }
     if (status.ok()) {
-        status = listen(*m_settings.readiness, caller_body_bytes,
-                        [this](const callers::http_request& request,
-                               const callers::reply& reply) { on_readiness(request, reply); },
-                        m_readiness);
+        status = listen(
+            *m_settings.readiness, caller_body_bytes,
+            [this](const callers::http_request& request, const callers::reply& reply) {
+                on_readiness(request, reply);
+            },
+            m_readiness);
     }
     return status;
 }
@@ -243,8 +249,9 @@
     call->set_body(std::move(request.body));
     const auto pass = [this, call, reply, patience](base::time_point now) {
         m_link.pass(now, *call, now + patience,
-                    [reply, call](const leader_link::outcome& outcome) {
-                        answer(outcome, reply, *call);
+                    [this, reply, call, now](const leader_link::outcome& outcome) {
+                        log_answer(outcome, *call, base::boot_time() - now);
+                        answer(outcome, reply);
                     });
     };
     if (!m_loop.try_post(pass)) {
@@ -259,8 +266,26 @@
     }
 }
 
-void entry_parts::answer(const leader_link::outcome& outcome, const callers::reply& reply,
-                         const pb::CallerCall& call)
+// The time that the request took lets an order be found among processes whose clocks differ.
+void entry_parts::log_answer(const leader_link::outcome& outcome, const pb::CallerCall& call,
+                             base::duration took) const
+{
+    using kind = leader_link::outcome::kind;
+    const bool is_answered = outcome.how == kind::answered;
+    log_event{is_answered ? severity::info : severity::warning,
+              is_answered ? "request_answered" : "request_not_passed"}
+        .with("method", call.method())
+        .with("path", call.path())
+        .with("status", outcome.answer.status())
+        .with("leader", m_link.leader())
+        .with("took_us", std::chrono::duration_cast<std::chrono::microseconds>(took).count())
+        .with("outcome", is_answered ? "answered"
+                         : outcome.how == kind::unknown ? "unknown"
+                                                        : "not_run")
+        .write();
+}
+
+void entry_parts::answer(const leader_link::outcome& outcome, const callers::reply& reply)
 {
     callers::http_response response;
     std::int64_t retry_after_ms = 0;
@@ -274,11 +299,6 @@
         response.status = is_unknown ? status_gateway_timeout : status_unavailable;
         response.body = "{}";
         retry_after_ms = is_unknown ? 0 : leaderless_retry.count();
-        log_event{severity::warning, "request_not_passed"}
-            .with("method", call.method())
-            .with("path", call.path())
-            .with("outcome", is_unknown ? "unknown" : "not_run")
-            .write();
     }
     if (retry_after_ms > 0) {
         const auto seconds = (retry_after_ms + 999) / 1'000;
--- a/src/controlplane/group_file.cpp
+++ b/src/controlplane/group_file.cpp
@@ -64,8 +64,8 @@
 
 } // namespace
 
-absl::StatusOr<std::vector<std::string>>
-first_voters(const settings::process_settings& settings, storage::file_system& files)
+absl::StatusOr<std::vector<std::string>> first_voters(const settings::process_settings& settings,
+                                                      storage::file_system& files)
 {
     if (auto status = files.create_folder(settings.data_folder); !status.ok()) {
         return status;
--- a/src/controlplane/group_file.h
+++ b/src/controlplane/group_file.h
@@ -13,8 +13,8 @@
 /// Returns the addresses of the first group's voters as this data folder remembers them, or none
 /// for a folder that wasn't there at the first start. On the first start, a process whose address
 /// is among the seeds remembers these; later seeds may differ.
-absl::StatusOr<std::vector<std::string>>
-first_voters(const settings::process_settings& settings, storage::file_system& files);
+absl::StatusOr<std::vector<std::string>> first_voters(const settings::process_settings& settings,
+                                                      storage::file_system& files);
 
 /// Returns the settings with which the log of this process is opened.
 settings::daemon_settings log_settings(const settings::process_settings& settings,
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -97,8 +97,7 @@
     }
 }
 
-void leader_link::set_leader(base::time_point now, const std::string& leader,
-                             std::string_view why)
+void leader_link::set_leader(base::time_point now, const std::string& leader, std::string_view why)
 {
     if (leader == m_leader) {
         return;
@@ -142,16 +141,15 @@
         m_client, m_leader, core_port(m_settings), caller_path, call->call,
         std::min(left, attempt_time),
         [this, call, to = m_leader](std::optional<pb::CallerAnswer> answer, call_failure failure) {
-            m_loop.post_completion([this, call, to, answer = std::move(answer),
-                                    failure](base::time_point when) {
-                on_answer(when, call, to, answer, failure == call_failure::unknown);
-            });
+            m_loop.post_completion(
+                [this, call, to, answer = std::move(answer), failure](base::time_point when) {
+                    on_answer(when, call, to, answer, failure == call_failure::unknown);
+                });
         });
 }
 
-void leader_link::on_answer(base::time_point now, const shared_call& call,
-                            const std::string& asked, std::optional<pb::CallerAnswer> answer,
-                            bool maybe_sent)
+void leader_link::on_answer(base::time_point now, const shared_call& call, const std::string& asked,
+                            std::optional<pb::CallerAnswer> answer, bool maybe_sent)
 {
     if (answer && !answer->not_leader() && !answer->in_doubt()) {
         call->finished({outcome::kind::answered, *std::move(answer)});
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -39,8 +39,8 @@
 
     /// Passes the call to the leader, again and to a new leader where needed, until `deadline`.
     /// Gives up earlier when nothing was sent and no leader shows up.
-    void pass(base::time_point now, proto::controlplane::CallerCall call,
-              base::time_point deadline, done finished);
+    void pass(base::time_point now, proto::controlplane::CallerCall call, base::time_point deadline,
+              done finished);
 
     /// Whether a leader confirmed this entry process lately.
     [[nodiscard]] bool is_connected(base::time_point now) const;
--- a/src/jobs/advice_desk.cpp
+++ b/src/jobs/advice_desk.cpp
@@ -128,20 +128,6 @@
     return found == m_steps.end() ? nullptr : &found->second;
 }
 
-const advice_desk::ticket* advice_desk::valid_ticket(base::time_point now, const step_key& step,
-                                                     const base::worker_id& worker) const
-{
-    const auto* const known = find(step);
-    if (known == nullptr) {
-        return nullptr;
-    }
-    const auto found = known->allowed.find(worker);
-    return found == known->allowed.end() ||
-                   found->second.valid_until <= now + m_settings.ticket_margin
-               ? nullptr
-               : &found->second;
-}
-
 void advice_desk::drop_ticket(const step_key& step, const base::worker_id& worker)
 {
     if (const auto known = m_steps.find(step); known != m_steps.end()) {
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -17,6 +17,9 @@
     return static_cast<pb::EndKind>(static_cast<int>(kind) + 1);
 }
 
+/// Advice on a new job is asked about the workers as they were listed this long ago at most.
+constexpr milliseconds submission_list_age{100};
+
 end_kind from_proto(pb::EndKind kind)
 {
     return static_cast<end_kind>(static_cast<int>(kind) - 1);
@@ -65,7 +68,9 @@
     if (policy == nullptr || spec.occurrences != 0 || m_ledger.find(spec.id) != nullptr) {
         return;
     }
-    list_candidates(now);
+    if (now - m_listed_at >= submission_list_age) {
+        list_candidates(now);
+    }
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         if (spec.steps[step].depends_on.empty()) {
             ask_about(now, {spec.id, 0, step}, spec, pool_of(spec), *policy, base::wall_time{});
@@ -377,8 +382,9 @@
 coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
 {
     collect_worker_output();
-    if (m_is_dirty) {
+    if (m_is_dirty && now >= m_next_plan) {
         m_is_dirty = false;
+        m_next_plan = now + m_settings.planner.plan_interval;
         plan(now, wall);
     }
     m_out.advice = m_advice.take(now);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -69,7 +69,10 @@
 
 void coordinator::list_candidates(base::time_point now)
 {
+    m_listed_at = now;
     m_candidates.clear();
+    m_candidate_index.clear();
+    m_largest_free.clear();
     m_pool_free.clear();
     m_pool_capacity.clear();
     for (const auto& [id, info] : m_ledger.workers()) {
@@ -80,7 +83,10 @@
         if (const auto planned = m_planned_on.find(id); planned != m_planned_on.end()) {
             free -= planned->second;
         }
+        m_candidate_index.emplace(id, m_candidates.size());
         m_candidates.push_back({&info, free});
+        auto& largest = m_largest_free[info.pool];
+        largest = std::max(largest, free.millicores);
         m_pool_free[info.pool] += free;
         m_pool_capacity[info.pool] += info.capacity;
     }
@@ -121,6 +127,9 @@
         return;
     }
     release_reservation(key);
+    if (!may_fit(step)) {
+        return;
+    }
     const auto chosen = assign(now, step, ticket_rule::valid);
     commit(step, chosen);
     std::uint32_t waiting = 0;
@@ -159,17 +168,34 @@
     return counts;
 }
 
-bool coordinator::is_allowed(base::time_point now, const planned_step& step,
-                             const base::worker_id& worker, ticket_rule rule) const
+bool coordinator::may_fit(const planned_step& step) const
+{
+    const auto largest = m_largest_free.find(step.pool);
+    return largest != m_largest_free.end() && booked_size(step.spec).millicores <= largest->second;
+}
+
+template <class Visit>
+void coordinator::for_each_allowed(base::time_point now, const planned_step& step, ticket_rule rule,
+                                   Visit visit)
 {
     if (advice_for(step.job.spec) == nullptr) {
-        return true;
-    }
-    if (rule == ticket_rule::valid) {
-        return m_advice.valid_ticket(now, step.key, worker) != nullptr;
+        for (auto& one : m_candidates) {
+            visit(one);
+        }
+        return;
     }
     const auto* const known = m_advice.find(step.key);
-    return known != nullptr && known->allowed.contains(worker);
+    if (known == nullptr) {
+        return;
+    }
+    for (const auto& [worker, ticket] : known->allowed) {
+        if (rule == ticket_rule::valid && !m_advice.is_valid(now, ticket)) {
+            continue;
+        }
+        if (const auto found = m_candidate_index.find(worker); found != m_candidate_index.end()) {
+            visit(m_candidates[found->second]);
+        }
+    }
 }
 
 bool coordinator::has_headroom(const planned_step& step, const size& more) const
@@ -282,28 +308,28 @@
     const auto avoided = m_avoided.find(step.key);
     candidate_worker* best = nullptr;
     std::tuple<bool, bool, std::int64_t> best_rank;
-    for (auto& candidate : m_candidates) {
-        const auto& info = *candidate.info;
-        if (info.pool != step.pool || !booked.fits_in(candidate.free) ||
+    for_each_allowed(now, step, rule, [&](candidate_worker& one) {
+        const auto& info = *one.info;
+        if (info.pool != step.pool || !booked.fits_in(one.free) ||
             !step.spec.size.fits_in(info.capacity) || (rack != nullptr && info.rack != *rack) ||
             !has_label(info, step.spec.required_label)) {
-            continue;
+            return;
         }
         if (step.spec.max_per_worker > 0) {
             const auto count = counts.find(info.id);
             if (count != counts.end() && count->second >= step.spec.max_per_worker) {
-                continue;
+                return;
             }
         }
         const bool is_avoided = avoided != m_avoided.end() && avoided->second.contains(info.id);
         const bool is_far =
             !step.spec.preferred_rack.empty() && info.rack != step.spec.preferred_rack;
-        const std::tuple rank{is_avoided, is_far, candidate.free.millicores};
-        if ((best == nullptr || rank < best_rank) && is_allowed(now, step, info.id, rule)) {
-            best = &candidate;
+        const std::tuple rank{is_avoided, is_far, one.free.millicores};
+        if (best == nullptr || rank < best_rank) {
+            best = &one;
             best_rank = rank;
         }
-    }
+    });
     return best;
 }
 
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -54,7 +54,8 @@
     }
     for (std::size_t i = 0; i < seeds->size(); ++i) {
         const auto* const text = (*seeds)[i].if_string();
-        const auto found = text == nullptr ? std::nullopt : parse_endpoint({text->data(), text->size()});
+        const auto found =
+            text == nullptr ? std::nullopt : parse_endpoint({text->data(), text->size()});
         if (found) {
             out.seeds.push_back(*found);
         }
--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -1,5 +1,7 @@
 #include "lovagebeam/telemetry/log.h"
 
+#include "lovagebeam/telemetry/log_budget.h"
+
 #include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
 #include <boost/log/expressions.hpp>
@@ -17,6 +19,7 @@
 #include <chrono>
 #include <iomanip>
 #include <iostream>
+#include <mutex>
 #include <sstream>
 
 namespace lovagebeam::telemetry {
@@ -111,6 +114,29 @@
     return out.str();
 }
 
+/// What each line has beside its event: time, level, node.
+constexpr std::size_t line_overhead = 70;
+/// Lines that were left out are counted in a line of their own this often at most.
+constexpr std::chrono::seconds left_out_interval{1};
+
+struct shared_budget {
+    std::mutex mutex;
+    log_budget lines{log_limits{}};
+    base::time_point reported;
+};
+
+shared_budget& budget()
+{
+    static shared_budget instance;
+    return instance;
+}
+
+void write_line(severity level, const std::string& text)
+{
+    BOOST_LOG_SEV(logger(), level) << "time=" << utc_now() << " level=" << name_of(level)
+                                   << " node=" << node_name() << ' ' << text;
+}
+
 } // namespace
 
 void start_logging(severity lowest, std::string_view node, log_stream stream)
@@ -163,8 +189,22 @@
     if (!sink()) {
         return;
     }
-    BOOST_LOG_SEV(logger(), m_level) << "time=" << utc_now() << " level=" << name_of(m_level)
-                                     << " node=" << node_name() << ' ' << m_text;
+    std::uint64_t left_out = 0;
+    {
+        const std::lock_guard lock{budget().mutex};
+        const auto now = std::chrono::steady_clock::now();
+        if (!budget().lines.admit(now, m_level, m_text.size() + line_overhead)) {
+            return;
+        }
+        if (now - budget().reported >= left_out_interval) {
+            budget().reported = now;
+            left_out = budget().lines.take_left_out();
+        }
+    }
+    if (left_out > 0) {
+        write_line(severity::warning, "event=log_lines_left_out count=" + std::to_string(left_out));
+    }
+    write_line(m_level, m_text);
 }
 
 } // namespace lovagebeam::telemetry
--- /dev/null
+++ b/src/telemetry/log_budget.cpp
@@ -0,0 +1,52 @@
+#include "lovagebeam/telemetry/log_budget.h"
+
+#include <algorithm>
+#include <chrono>
+#include <utility>
+
+namespace lovagebeam::telemetry {
+
+log_budget::log_budget(const log_limits& limits) : m_limits{limits} {}
+
+// Each bucket holds at most what one second brings.
+void log_budget::refill(base::time_point now)
+{
+    const double seconds =
+        m_is_started ? std::chrono::duration<double>{now - m_filled}.count() : 1.0;
+    m_is_started = true;
+    m_filled = now;
+    const auto fill = [&](bucket& to, double part) {
+        const double lines = m_limits.lines_per_second * part;
+        const double bytes = m_limits.bytes_per_second * part;
+        to.lines = std::min(lines, to.lines + lines * seconds);
+        to.bytes = std::min(bytes, to.bytes + bytes * seconds);
+    };
+    fill(m_routine, 1 - m_limits.reserved);
+    fill(m_important, m_limits.reserved);
+}
+
+bool log_budget::admit(base::time_point now, severity level, std::size_t bytes)
+{
+    refill(now);
+    const auto take = [size = static_cast<double>(bytes)](bucket& from) {
+        if (from.lines < 1 || from.bytes < size) {
+            return false;
+        }
+        from.lines -= 1;
+        from.bytes -= size;
+        return true;
+    };
+    const bool is_important = level == severity::warning || level == severity::error;
+    if ((is_important && take(m_important)) || take(m_routine)) {
+        return true;
+    }
+    ++m_left_out;
+    return false;
+}
+
+std::uint64_t log_budget::take_left_out()
+{
+    return std::exchange(m_left_out, 0);
+}
+
+} // namespace lovagebeam::telemetry
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -57,8 +57,8 @@
     std::uint32_t workers = 8;
     double lose_request = 0; ///< probability for each order
     double lose_answer = 0;
-    double apply_late = 0;  ///< an order is carried out 2 to 12 s later
-    double fail_run = 0;    ///< through the task's own fault
+    double apply_late = 0; ///< an order is carried out 2 to 12 s later
+    double fail_run = 0;   ///< through the task's own fault
     bool with_advice = false;
     base::duration commit_time = 12ms;
 };
--- /dev/null
+++ b/tests/telemetry/log_budget_test.cpp
@@ -0,0 +1,60 @@
+#include "lovagebeam/telemetry/log_budget.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <chrono>
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::telemetry;
+
+class log_budget_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(log_budget_test);
+    CPPUNIT_TEST(admit_beyond_lines_is_left_out_and_counted);
+    CPPUNIT_TEST(admit_routine_flood_leaves_room_for_errors);
+    CPPUNIT_TEST(admit_next_second_is_written_again);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against a log that grows with the load.
+    void admit_beyond_lines_is_left_out_and_counted()
+    {
+        log_budget budget{{.lines_per_second = 100, .bytes_per_second = 1e6, .reserved = 0.2}};
+        CPPUNIT_ASSERT_EQUAL(80, admitted(budget, severity::info, 200));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{120}, budget.take_left_out());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, budget.take_left_out());
+    }
+
+    // Guards against routine lines that push out what explains a failure.
+    void admit_routine_flood_leaves_room_for_errors()
+    {
+        log_budget budget{{.lines_per_second = 100, .bytes_per_second = 1e6, .reserved = 0.2}};
+        admitted(budget, severity::info, 500);
+        CPPUNIT_ASSERT_EQUAL(20, admitted(budget, severity::error, 50));
+    }
+
+    void admit_next_second_is_written_again()
+    {
+        log_budget budget{{.lines_per_second = 100, .bytes_per_second = 1e6, .reserved = 0}};
+        admitted(budget, severity::info, 500);
+        m_now += std::chrono::milliseconds{500};
+        CPPUNIT_ASSERT_EQUAL(50, admitted(budget, severity::info, 500));
+    }
+
+private:
+    int admitted(log_budget& budget, severity level, int lines) const
+    {
+        int count = 0;
+        for (int i = 0; i < lines; ++i) {
+            count += budget.admit(m_now, level, 100) ? 1 : 0;
+        }
+        return count;
+    }
+
+    base::time_point m_now{std::chrono::hours{1}};
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(log_budget_test);
+
+} // namespace
