Let the other core processes make the leader's calls to workers

Change: with 120 workers or more, orders and outcomes travel in batches between core processes on the routing channel; followers acknowledge heartbeats that change nothing.

--- a/src/controlplane/core_control.cpp
+++ b/src/controlplane/core_control.cpp
@@ -10,6 +10,9 @@
 using telemetry::log_event;
 using telemetry::severity;
 
+/// Longer than the interval of the leader's heartbeats, shorter than an election takes.
+constexpr std::chrono::milliseconds follower_contact{300};
+
 control_answer done_answer(std::string body = {})
 {
     return {control_outcome::done, {}, std::move(body)};
@@ -37,11 +40,20 @@
     }
 }
 
+// A follower in touch with the leader may acknowledge what the replicated state holds already.
+bool core_parts::is_unchanged(base::time_point now, const worker_report& report) const
+{
+    const auto& heard = m_log.contact().leader_heard;
+    const auto found = records().workers().find(report.info.id);
+    return heard && now - *heard < follower_contact && found != records().workers().end() &&
+           found->second == report.info;
+}
+
 void core_parts::handle_report(base::time_point now, const worker_report& report,
                                const control_done& done)
 {
     if (!m_coordinator || !m_log.is_established_leader(now)) {
-        done(refusal(now));
+        done(is_unchanged(now, report) ? done_answer() : refusal(now));
         return;
     }
     const auto& known = records().workers();
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -34,6 +34,8 @@
 constexpr std::chrono::milliseconds handover_time{400};
 /// An entry process answers an advice call in this time beyond that of the service.
 constexpr std::chrono::milliseconds agent_time{300};
+/// Orders and outcomes of this time travel in one message.
+constexpr std::chrono::milliseconds relay_interval{3};
 constexpr unsigned first_error_status = 400;
 constexpr std::chrono::seconds metrics_interval{1};
 constexpr std::size_t internal_body_bytes = std::size_t{2} << 20U;
@@ -64,7 +66,7 @@
 core_parts::core_parts(parts given, const settings::daemon_settings& log_settings,
                        std::uint64_t run, std::unique_ptr<storage::file_system> files,
                        daemon::opened_log log)
-    : m_settings{std::move(given.settings)}, m_worker_port{*given.workers}, m_codec{*given.codec},
+    : m_settings{std::move(given.settings)}, m_codec{*given.codec},
       m_metrics{*given.metrics}, m_core_metrics{m_metrics}, m_files{std::move(files)}, m_loop{&base::boot_time},
       m_links{log_settings, std::string{system_name}, run, m_loop, m_metrics},
       m_writer{daemon::make_writer(std::move(log.store), m_loop)},
@@ -72,6 +74,7 @@
              std::move(log.snapshot), std::move(log.snapshot_bytes), &m_links, m_writer.get(),
              this}},
       m_group{m_settings, log.identity, m_log, m_links, m_client, m_loop},
+      m_worker_port{*given.workers, m_links, m_loop},
       m_callers{{&m_codec, [this]() -> const jobs::ledger& { return records(); },
                  [this](base::time_point now, proto::jobs::Operation operation, commit_done done) {
                      commit(now, std::move(operation), std::move(done));
@@ -106,13 +109,17 @@
     }
     m_server = *std::move(server);
     m_client.start();
-    auto status =
-        m_links.start({[this](auto now, const auto&, auto& message) {
-                           if (message.has_consensus()) {
-                               m_log.on_consensus(now, std::move(*message.mutable_consensus()));
-                           }
-                       },
-                       [](auto, const auto&, auto) {}, [](auto, const auto&) {}});
+    daemon::peer_links::receivers receivers;
+    receivers.cluster = [this](auto now, const auto&, auto& message) {
+        if (message.has_consensus()) {
+            m_log.on_consensus(now, std::move(*message.mutable_consensus()));
+        }
+    };
+    receivers.routing = [this](auto now, const auto& from, const auto& bytes) {
+        m_worker_port.on_message(now, from, bytes);
+    };
+    receivers.lost = [](auto, const auto&) {};
+    auto status = m_links.start(std::move(receivers));
     if (!status.ok()) {
         return status;
     }
@@ -202,6 +209,7 @@
 {
     m_log.tick(now);
     m_group.tick(now);
+    m_worker_port.tick(now);
     if (m_log.is_established_leader(now) && !m_is_stopped) {
         lead(now);
     }
@@ -210,10 +218,19 @@
     }
     if (now - m_last_metrics >= metrics_interval) {
         m_last_metrics = now;
+        update_relays();
         m_core_metrics.update(records(), m_coordinator.get(), now);
     }
 }
 
+void core_parts::update_relays()
+{
+    auto cores = m_group.cores();
+    std::erase(cores, m_settings.address);
+    m_worker_port.set_cores(std::move(cores));
+    m_worker_port.set_worker_count(records().workers().size());
+}
+
 void core_parts::lead(base::time_point now)
 {
     if (m_coordinator) {
@@ -249,6 +266,10 @@
         carry_out(now);
     }
     m_log.flush(now);
+    if (now - m_last_relay_flush >= relay_interval) {
+        m_last_relay_flush = now;
+        m_worker_port.flush();
+    }
 }
 
 void core_parts::carry_out(base::time_point now)
--- a/src/controlplane/core_parts.h
+++ b/src/controlplane/core_parts.h
@@ -13,6 +13,7 @@
 #include "log_storage.h"
 #include "peer_links.h"
 #include "replication.h"
+#include "worker_relay.h"
 
 #include <atomic>
 #include <cstdint>
@@ -62,10 +63,12 @@
     void commit(base::time_point now, proto::jobs::Operation operation, commit_done done);
     [[nodiscard]] control_answer refusal(base::time_point now) const;
 
+    [[nodiscard]] bool is_unchanged(base::time_point now, const worker_report& report) const;
     void handle_report(base::time_point now, const worker_report& report, const control_done& done);
     void handle_catalog(base::time_point now, const std::string& document,
                         const control_done& done);
     void read_catalog();
+    void update_relays();
     void lead(base::time_point now);
     void stop_leading();
     void carry_out(base::time_point now);
@@ -79,11 +82,11 @@
                              std::function<void(base::time_point, jobs::coordinator&)> work);
 
     settings::process_settings m_settings;
-    worker_port& m_worker_port;
     const document_codec& m_codec;
     telemetry::metrics_registry& m_metrics;
     core_metrics m_core_metrics;
     base::time_point m_last_metrics;
+    base::time_point m_last_relay_flush;
     std::unique_ptr<storage::file_system> m_files;
     daemon::decision_loop m_loop;
     targets::http_client m_client;
@@ -91,6 +94,7 @@
     std::unique_ptr<daemon::log_writer> m_writer;
     daemon::replication m_log;
     core_group m_group;
+    worker_relay m_worker_port;
     caller_service m_callers;
     std::unique_ptr<callers::http_server> m_server;
     std::thread m_decisions;
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -15,7 +15,7 @@
 using telemetry::log_event;
 using telemetry::severity;
 
-constexpr std::chrono::milliseconds sync_interval{300};
+constexpr std::chrono::milliseconds sync_interval{450};
 constexpr std::chrono::milliseconds search_interval{60};
 constexpr std::chrono::milliseconds sync_time{600};
 constexpr std::uint32_t most_syncs = 3;
--- /dev/null
+++ b/src/controlplane/worker_relay.cpp
@@ -0,0 +1,333 @@
+#include "worker_relay.h"
+
+#include "lovagebeam/base/clock.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+namespace pb = proto::controlplane;
+
+using std::chrono::milliseconds;
+using telemetry::log_event;
+using telemetry::severity;
+
+/// Below this number of workers the calls take a small part of the leader's processor.
+constexpr std::size_t relay_from_workers = 120;
+/// An order's outcome comes within the time of the call itself and this.
+constexpr milliseconds relay_time{400};
+/// The longest that a call to a worker takes, beyond the wait of a hold.
+constexpr milliseconds call_time{700};
+/// A core process that lost an order gets none for this time.
+constexpr std::chrono::seconds suspension{2};
+
+pb::RelayRun to_proto(const jobs::run_key& run)
+{
+    pb::RelayRun out;
+    out.set_job(run.task.job.value());
+    out.set_occurrence(run.task.occurrence);
+    out.set_step(run.task.step);
+    out.set_index(run.task.index);
+    out.set_attempt(run.attempt);
+    return out;
+}
+
+jobs::run_key from_proto(const pb::RelayRun& message)
+{
+    return {{jobs::job_number{message.job()}, message.occurrence(), message.step(),
+             message.index()},
+            message.attempt()};
+}
+
+pb::RelayOrder make_order(const jobs::worker_address& to, jobs::fencing_token token)
+{
+    pb::RelayOrder out;
+    out.mutable_to()->set_worker(to.worker.str());
+    out.mutable_to()->set_born_ms(to.born.time_since_epoch().count());
+    out.mutable_to()->set_address(to.address);
+    out.mutable_to()->set_port(to.port);
+    out.set_token(token.value());
+    return out;
+}
+
+std::string_view name_of(const pb::RelayOrder& order)
+{
+    if (order.has_start()) {
+        return "start";
+    }
+    return order.has_stop() ? "stop" : "hold";
+}
+
+jobs::worker_address from_proto(const pb::RelayTarget& message)
+{
+    return {base::worker_id{message.worker()}, base::wall_time{milliseconds{message.born_ms()}},
+            message.address(), static_cast<std::uint16_t>(message.port())};
+}
+
+jobs::start_order start_from(const pb::RelayOrder& message)
+{
+    jobs::start_order out;
+    out.to = from_proto(message.to());
+    out.run = from_proto(message.start().run());
+    out.payload = message.start().payload();
+    out.checkpoint = message.start().checkpoint();
+    out.ticket = message.start().ticket();
+    out.deadline = jobs::worker_time{message.start().deadline_ms()};
+    out.token = jobs::fencing_token{message.token()};
+    return out;
+}
+
+jobs::hold_order hold_from(const pb::RelayOrder& message)
+{
+    jobs::hold_order out;
+    out.to = from_proto(message.to());
+    if (message.hold().has_deadline_ms()) {
+        out.deadline = jobs::worker_time{message.hold().deadline_ms()};
+    }
+    out.cursor = message.hold().cursor();
+    out.wait = milliseconds{message.hold().wait_ms()};
+    out.token = jobs::fencing_token{message.token()};
+    return out;
+}
+
+void write(const jobs::hold_answer& answer, pb::RelayOutcome& out)
+{
+    out.set_clock_ms(answer.clock.count());
+    out.set_born_ms(answer.born.time_since_epoch().count());
+    for (const auto& row : answer.running) {
+        auto& record = *out.add_running();
+        *record.mutable_run() = to_proto(row.run);
+        record.set_checkpoint(row.checkpoint);
+        record.set_percent(row.percent);
+        if (row.figure) {
+            record.set_figure(*row.figure);
+        }
+    }
+    for (const auto& row : answer.finished) {
+        auto& record = *out.add_finished();
+        record.set_number(row.number);
+        *record.mutable_run() = to_proto(row.run);
+        record.set_how(static_cast<std::uint32_t>(row.how));
+        record.set_checkpoint(row.checkpoint);
+    }
+}
+
+jobs::hold_answer hold_answer_from(const pb::RelayOutcome& message)
+{
+    jobs::hold_answer out;
+    out.clock = jobs::worker_time{message.clock_ms()};
+    out.born = base::wall_time{milliseconds{message.born_ms()}};
+    for (const auto& record : message.running()) {
+        out.running.push_back({from_proto(record.run()), record.checkpoint(), record.percent(),
+                               record.has_figure() ? std::optional{record.figure()}
+                                                   : std::nullopt});
+    }
+    for (const auto& record : message.finished()) {
+        out.finished.push_back({record.number(), from_proto(record.run()),
+                                static_cast<jobs::end_kind>(record.how()), record.checkpoint()});
+    }
+    return out;
+}
+
+} // namespace
+
+worker_relay::worker_relay(worker_port& workers, daemon::peer_links& links,
+                           daemon::decision_loop& loop)
+    : m_workers{workers}, m_links{links}, m_loop{loop}
+{
+}
+
+void worker_relay::set_cores(std::vector<std::string> cores)
+{
+    std::ranges::sort(cores);
+    m_cores = std::move(cores);
+}
+
+std::string worker_relay::relay_for(const base::worker_id& worker) const
+{
+    if (m_worker_count < relay_from_workers || m_cores.empty()) {
+        return {};
+    }
+    const auto first = std::hash<std::string>{}(worker.str());
+    for (std::size_t i = 0; i < m_cores.size(); ++i) {
+        const auto& core = m_cores[(first + i) % m_cores.size()];
+        const auto suspended = m_suspended.find(core);
+        const bool is_suspended = suspended != m_suspended.end() && m_now < suspended->second;
+        if (!is_suspended && m_links.is_connected(base::node_id{core})) {
+            return core;
+        }
+    }
+    return {};
+}
+
+void worker_relay::pass(const std::string& relay, pb::RelayOrder order, milliseconds patience,
+                        std::function<void(const outcome*)> done)
+{
+    order.set_id(++m_last_id);
+    m_pending.emplace(m_last_id, pending_order{relay, base::boot_time() + patience + relay_time,
+                                               std::move(done), name_of(order),
+                                               order.to().worker()});
+    *m_outgoing[relay].add_orders() = std::move(order);
+}
+
+void worker_relay::start(const jobs::start_order& order,
+                         std::function<void(jobs::start_outcome)> done)
+{
+    const auto relay = relay_for(order.to.worker);
+    if (relay.empty()) {
+        m_workers.start(order, std::move(done));
+        return;
+    }
+    auto message = make_order(order.to, order.token);
+    auto& body = *message.mutable_start();
+    *body.mutable_run() = to_proto(order.run);
+    body.set_payload(order.payload);
+    body.set_checkpoint(order.checkpoint);
+    body.set_ticket(order.ticket);
+    body.set_deadline_ms(order.deadline.count());
+    pass(relay, std::move(message), call_time, [done = std::move(done)](const outcome* result) {
+        done(result == nullptr ? jobs::start_outcome::unknown
+                               : static_cast<jobs::start_outcome>(result->outcome()));
+    });
+}
+
+void worker_relay::stop(const jobs::stop_order& order, std::function<void(bool)> done)
+{
+    const auto relay = relay_for(order.to.worker);
+    if (relay.empty()) {
+        m_workers.stop(order, std::move(done));
+        return;
+    }
+    auto message = make_order(order.to, order.token);
+    *message.mutable_stop() = to_proto(order.run);
+    pass(relay, std::move(message), call_time, [done = std::move(done)](const outcome* result) {
+        done(result != nullptr && result->outcome() == 1);
+    });
+}
+
+void worker_relay::hold(const jobs::hold_order& order,
+                        std::function<void(jobs::hold_outcome, jobs::hold_answer)> done)
+{
+    const auto relay = relay_for(order.to.worker);
+    if (relay.empty()) {
+        m_workers.hold(order, std::move(done));
+        return;
+    }
+    auto message = make_order(order.to, order.token);
+    auto& body = *message.mutable_hold();
+    if (order.deadline) {
+        body.set_deadline_ms(order.deadline->count());
+    }
+    body.set_cursor(order.cursor);
+    body.set_wait_ms(order.wait.count());
+    pass(relay, std::move(message), call_time + order.wait,
+         [done = std::move(done)](const outcome* result) {
+             if (result == nullptr) {
+                 done(jobs::hold_outcome::unknown, {});
+                 return;
+             }
+             done(static_cast<jobs::hold_outcome>(result->outcome()), hold_answer_from(*result));
+         });
+}
+
+void worker_relay::on_message(base::time_point now, const base::node_id& from,
+                              std::string_view bytes)
+{
+    m_now = now;
+    pb::RelayMessage message;
+    if (!message.ParseFromArray(bytes.data(), static_cast<int>(bytes.size()))) {
+        log_event{severity::warning, "relay_message_malformed"}.with("peer", from.str()).write();
+        return;
+    }
+    for (const auto& order : message.orders()) {
+        carry_out(from, order);
+    }
+    for (const auto& result : message.outcomes()) {
+        const auto found = m_pending.find(result.id());
+        if (found == m_pending.end()) {
+            continue;
+        }
+        const auto done = std::move(found->second.done);
+        m_pending.erase(found);
+        done(&result);
+    }
+}
+
+// The callbacks come on the thread of the calls, the answers leave from the decisions thread.
+void worker_relay::carry_out(const base::node_id& from, const pb::RelayOrder& order)
+{
+    const auto answer_later = [this, from](outcome result) {
+        m_loop.post_completion([this, from, result = std::move(result)](base::time_point) {
+            answer(from, result);
+        });
+    };
+    outcome result;
+    result.set_id(order.id());
+    switch (order.body_case()) {
+    case pb::RelayOrder::kStart:
+        m_workers.start(start_from(order), [result, answer_later](auto how) mutable {
+            result.set_outcome(static_cast<std::uint32_t>(how));
+            answer_later(std::move(result));
+        });
+        return;
+    case pb::RelayOrder::kStop:
+        m_workers.stop({from_proto(order.to()), from_proto(order.stop()),
+                        jobs::fencing_token{order.token()}},
+                       [result, answer_later](bool is_done) mutable {
+                           result.set_outcome(is_done ? 1 : 0);
+                           answer_later(std::move(result));
+                       });
+        return;
+    case pb::RelayOrder::kHold:
+        m_workers.hold(hold_from(order), [result, answer_later](auto how, auto list) mutable {
+            result.set_outcome(static_cast<std::uint32_t>(how));
+            write(list, result);
+            answer_later(std::move(result));
+        });
+        return;
+    case pb::RelayOrder::BODY_NOT_SET:
+        return;
+    }
+}
+
+void worker_relay::answer(const base::node_id& to, outcome result)
+{
+    *m_outgoing[to.str()].add_outcomes() = std::move(result);
+}
+
+void worker_relay::tick(base::time_point now)
+{
+    m_now = now;
+    std::vector<pending_order> lost;
+    std::erase_if(m_pending, [&](auto& entry) {
+        if (now < entry.second.deadline) {
+            return false;
+        }
+        lost.push_back(std::move(entry.second));
+        return true;
+    });
+    for (const auto& order : lost) {
+        auto& until = m_suspended[order.relay];
+        if (now >= until) {
+            log_event{severity::warning, "relay_suspended"}
+                .with("core", order.relay)
+                .with("order", order.kind)
+                .with("worker", order.worker)
+                .write();
+        }
+        until = now + suspension;
+        order.done(nullptr);
+    }
+}
+
+void worker_relay::flush()
+{
+    for (const auto& [to, message] : std::exchange(m_outgoing, {})) {
+        m_links.send(base::node_id{to}, peers::channel::routing, message.SerializeAsString());
+    }
+}
+
+} // namespace lovagebeam::controlplane
--- a/src/daemon/peer_links.cpp
+++ b/src/daemon/peer_links.cpp
@@ -67,6 +67,11 @@
     }
 }
 
+bool peer_links::is_connected(const base::node_id& peer) const
+{
+    return m_network.ok() && (*m_network)->state_of(peer) == peers::connection_state::connected;
+}
+
 peers::network_counters peer_links::counters() const
 {
     return m_network.ok() ? (*m_network)->counters() : peers::network_counters{};
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -41,6 +41,8 @@
     /// Replaces the hosts that this one dials and accepts connections from.
     void update_peers(std::vector<peers::peer_address> peers);
 
+    [[nodiscard]] bool is_connected(const base::node_id& peer) const;
+
     [[nodiscard]] peers::network_counters counters() const;
 
 private:
