Bound planning passes, shed load at the leader, rename the workers package

Cause: on the grown site a burst left a backlog that made every planning pass longer (metastable: the load was ordinary again, the leader still saturated), and entry processes sent unanswered calls again, which doubled the load.

Ruled out: the number of planning passes alone.

Tests of the adapter's formats.

--- a/fuzz/platform_fuzz.cpp
+++ b/fuzz/workers_fuzz.cpp
@@ -1,5 +1,5 @@
 #include "lovagebeam/base/errors.h"
-#include "lovagebeam/platform/protocol.h"
+#include "lovagebeam/workers/protocol.h"
 
 #include <cstddef>
 #include <cstdint>
@@ -8,7 +8,7 @@
 
 namespace {
 
-using namespace lovagebeam::platform;
+using namespace lovagebeam::workers;
 
 /// A message that is accepted survives a round trip; one that isn't gives a typed error.
 template <class Decode>
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -14,6 +14,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <unordered_map>
 #include <vector>
 
@@ -29,6 +30,11 @@
     milliseconds retry_max{1'600};
     /// A job past this many objectives is served after those that can still be in time.
     double hopeless_objectives = 3;
+    /// After this many steps of one priority that don't fit, a pass goes on with the next priority,
+    /// so that its cost doesn't grow with the backlog.
+    std::uint32_t misfits_per_priority = 32;
+    /// A step that fits on no allowed worker looks for others this often.
+    milliseconds ask_interval{200};
     /// Planning passes are at least this far apart, so that what comes meanwhile shares one.
     milliseconds plan_interval{4};
     /// Jobs that have ended are kept this long.
@@ -104,8 +110,13 @@
         base::wall_time due_by;   ///< when the job's objective ends
         base::wall_time hopeless; ///< after it the job earns nothing
         base::time_point not_before;
+        base::time_point ask_not_before; ///< about workers that no call has named
         std::uint32_t refusals = 0;
+        bool is_hopeless = false;
     };
+    /// Order of planning: what can still earn something, then priority, then the end of the
+    /// objective.
+    using plan_rank = std::tuple<bool, std::uint32_t, base::wall_time, step_key>;
     struct candidate_worker {
         const worker_info* info = nullptr;
         size free;
@@ -137,6 +148,9 @@
     // Events.
     void add_ready_steps(const job_record& job);
     void add_ready_step(const job_record& job, const step_key& key);
+    void remove_ready_step(const step_key& key);
+    void demote_hopeless_steps(base::wall_time wall);
+    static plan_rank rank_of(const step_key& key, const ready_step& ready);
     void remove_job(const job_record& job);
     void on_placed(base::time_point now, const proto::jobs::PlaceTasks& operation);
     void on_ended(base::time_point now, const proto::jobs::EndTask& operation);
@@ -150,7 +164,7 @@
     proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
 
     // Planning.
-    void plan(base::time_point now, base::wall_time wall);
+    void plan(base::time_point now);
     void list_candidates(base::time_point now);
     /// Whether one task of the step fits on some candidate at all.
     [[nodiscard]] bool may_fit(const planned_step& step) const;
@@ -159,17 +173,21 @@
     template <class Visit>
     void for_each_allowed(base::time_point now, const planned_step& step, ticket_rule rule,
                           Visit visit);
-    void plan_step(base::time_point now, const step_key& key, ready_step& ready);
+    /// Returns whether nothing of the step could be placed for want of room.
+    bool plan_step(base::time_point now, const step_key& key);
     std::vector<assignment> assign(base::time_point now, const planned_step& step,
                                    ticket_rule rule);
     std::vector<assignment> assign_in_one_rack(base::time_point now, const planned_step& step,
                                                ticket_rule rule);
     std::vector<assignment> assign_within(base::time_point now, const planned_step& step,
                                           ticket_rule rule, const std::string* rack);
-    candidate_worker* choose(base::time_point now, const planned_step& step, ticket_rule rule,
-                             const std::string* rack,
-                             const std::map<base::worker_id, std::uint32_t>& counts);
-    void ask_advice(base::time_point now, const planned_step& step, const ready_step& ready);
+    /// The candidates that may run the step, whatever their room.
+    std::vector<candidate_worker*> eligible_workers(base::time_point now, const planned_step& step,
+                                                    ticket_rule rule, const std::string* rack);
+    candidate_worker* choose(const planned_step& step,
+                             const std::vector<candidate_worker*>& eligible,
+                             const std::map<base::worker_id, std::uint32_t>& counts) const;
+    void ask_advice(base::time_point now, const planned_step& step, ready_step& ready);
     void ask_about(base::time_point now, const step_key& key, const job_spec& job,
                    const std::string& pool, const advice_policy& policy, base::wall_time due_by);
     void commit(const planned_step& step, const std::vector<assignment>& chosen);
@@ -193,9 +211,11 @@
     advice_desk m_advice;
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
-    std::set<std::pair<base::wall_time, step_key>> m_later; ///< timed steps that aren't due
-    std::map<task_key, planned_run> m_planned;              ///< decided, not yet committed
-    std::map<base::worker_id, size> m_planned_on;           ///< with reservations
+    std::set<plan_rank> m_order;                                  ///< of the ready steps
+    std::set<std::pair<base::wall_time, step_key>> m_hopeless_at; ///< those that aren't so yet
+    std::set<std::pair<base::wall_time, step_key>> m_later;       ///< timed steps that aren't due
+    std::map<task_key, planned_run> m_planned;                    ///< decided, not yet committed
+    std::map<base::worker_id, size> m_planned_on;                 ///< with reservations
     std::map<std::string, size> m_planned_by;
     std::map<step_key, reservation> m_reserved;
     std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
--- a/include/lovagebeam/standin/worker.h
+++ b/include/lovagebeam/standin/worker.h
@@ -1,7 +1,7 @@
 #pragma once
 
 #include "lovagebeam/callers/http_server.h"
-#include "lovagebeam/platform/protocol.h"
+#include "lovagebeam/workers/protocol.h"
 #include "lovagebeam/standin/timer_queue.h"
 
 #include <chrono>
@@ -43,20 +43,20 @@
 
 private:
     struct task {
-        platform::task_spec spec;
-        platform::task_report report;
+        workers::task_spec spec;
+        workers::task_report report;
         base::time_point lease_end;
         base::time_point ended_at;
     };
 
     void start(const callers::http_request& request, const callers::reply& reply);
-    void add_task(const platform::start_task_request& message);
+    void add_task(const workers::start_task_request& message);
     void cancel(std::string_view id, const callers::reply& reply);
     void report(const callers::reply& reply);
     void remember_stopped(const base::task_id& id);
-    void end(task& ended, platform::task_state state);
+    void end(task& ended, workers::task_state state);
     void check_lease(const base::task_id& id);
-    [[nodiscard]] bool has_room_for(const platform::task_spec& spec) const;
+    [[nodiscard]] bool has_room_for(const workers::task_spec& spec) const;
     void violation(const std::string& text);
 
     std::mutex m_mutex;
--- a/include/lovagebeam/platform/protocol.h
+++ b/include/lovagebeam/workers/protocol.h
@@ -15,7 +15,7 @@
 /// The worker protocol: messages between the system and workers. Every decoder is strict: a field
 /// that is unknown, missing, of the wrong type or out of range gives `invalid_request` with the
 /// field's path in the message, for example "tasks[2].state: expected one of running, ...".
-namespace lovagebeam::platform {
+namespace lovagebeam::workers {
 
 enum class task_state {
     starting,
@@ -100,4 +100,4 @@
 absl::StatusOr<announcement_answer> decode_announcement_answer(std::string_view json);
 absl::StatusOr<start_task_request> decode_start_task_request(std::string_view json);
 
-} // namespace lovagebeam::platform
+} // namespace lovagebeam::workers
--- a/include/lovagebeam/platform/worker_client.h
+++ b/include/lovagebeam/workers/worker_client.h
@@ -1,14 +1,14 @@
 #pragma once
 
 #include "lovagebeam/base/types.h"
-#include "lovagebeam/platform/protocol.h"
+#include "lovagebeam/workers/protocol.h"
 #include "lovagebeam/targets/http_client.h"
 
 #include <functional>
 #include <string>
 #include <string_view>
 
-namespace lovagebeam::platform {
+namespace lovagebeam::workers {
 
 /// What the end of a call tells about the task.
 enum class worker_outcome {
@@ -48,4 +48,4 @@
     targets::http_client& m_client;
 };
 
-} // namespace lovagebeam::platform
+} // namespace lovagebeam::workers
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -27,6 +27,11 @@
 
 /// Digits of a job's id.
 constexpr std::size_t id_digits = 16;
+/// A call that waited longer for its turn shows that the process is overloaded. Several times what
+/// the longest ordinary pause takes.
+constexpr std::chrono::milliseconds overload_wait{400};
+/// A burst that overloads the process is mostly over by then.
+constexpr std::chrono::milliseconds overload_retry{2'000};
 /// A queue that isn't configured yet may be so by then.
 constexpr std::chrono::milliseconds unconfigured_retry{500};
 
@@ -93,8 +98,8 @@
 
 } // namespace
 
-void caller_service::handle(base::time_point now, const jobs::catalog* catalog,
-                            const pb::CallerCall& call, done reply)
+void caller_service::handle(base::time_point now, base::duration waited,
+                            const jobs::catalog* catalog, const pb::CallerCall& call, done reply)
 {
     const auto refuse = [&](unsigned status, std::string_view why) {
         log_refusal(call, status, why);
@@ -130,7 +135,7 @@
     about.names_job = id.has_value();
     about.job = id.value_or(jobs::job_number{});
     if (call.method() == "POST" && about.names_job) {
-        submit(now, about, call.body(), std::move(reply));
+        submit(now, waited, about, call.body(), std::move(reply));
     }
     else if (call.method() == "GET") {
         show(about, reply);
@@ -143,8 +148,8 @@
     }
 }
 
-void caller_service::submit(base::time_point now, const subject& about, std::string_view body,
-                            done reply)
+void caller_service::submit(base::time_point now, base::duration waited, const subject& about,
+                            std::string_view body, done reply)
 {
     if (m_parts.records().find(about.job) != nullptr) {
         reply(answer_with(status_ok));
@@ -154,6 +159,18 @@
         pending->second.push_back(std::move(reply));
         return;
     }
+    if (waited >= overload_wait) {
+        auto refusal = answer_with(status_unavailable);
+        refusal.set_retry_after_ms(overload_retry.count());
+        log_event{severity::info, "job_refused"}
+            .with("job", jobs::job_text(about.job))
+            .with("why", "overload")
+            .with("waited_us",
+                  std::chrono::duration_cast<std::chrono::microseconds>(waited).count())
+            .write();
+        reply(std::move(refusal));
+        return;
+    }
     auto spec = m_parts.codec->decode_job(body);
     if (!spec.ok()) {
         log_event{severity::info, "job_refused"}
--- a/src/controlplane/caller_service.h
+++ b/src/controlplane/caller_service.h
@@ -37,8 +37,10 @@
 
     explicit caller_service(parts given) : m_parts{std::move(given)} {}
 
-    /// `catalog` is the configuration in force, or nullptr when there is none yet.
-    void handle(base::time_point now, const jobs::catalog* catalog,
+    /// `catalog` is the configuration in force, or nullptr when there is none yet. `waited` is how
+    /// long the call waited in this process: new jobs are refused when that is too long, since the
+    /// process then gets more calls than it can serve.
+    void handle(base::time_point now, base::duration waited, const jobs::catalog* catalog,
                 const proto::controlplane::CallerCall& call, done reply);
 
 private:
@@ -49,7 +51,8 @@
         bool names_job = false;
     };
 
-    void submit(base::time_point now, const subject& about, std::string_view body, done reply);
+    void submit(base::time_point now, base::duration waited, const subject& about,
+                std::string_view body, done reply);
     void show(const subject& about, const done& reply);
     void cancel(base::time_point now, const subject& about, done reply);
     void finish_submission(jobs::job_number id, commit_outcome outcome);
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -22,8 +22,7 @@
     void on_advice_call(bool is_answered, base::duration took);
     void on_refusal(unsigned status);
     /// Sets the gauges; due about every second.
-    void update(const jobs::ledger& records, const jobs::coordinator* leader,
-                base::time_point now);
+    void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
 private:
     void count(std::string_view name, std::string_view label, std::string_view value);
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -66,8 +66,8 @@
 core_parts::core_parts(parts given, const settings::daemon_settings& log_settings,
                        std::uint64_t run, std::unique_ptr<storage::file_system> files,
                        daemon::opened_log log)
-    : m_settings{std::move(given.settings)}, m_codec{*given.codec},
-      m_metrics{*given.metrics}, m_core_metrics{m_metrics}, m_files{std::move(files)}, m_loop{&base::boot_time},
+    : m_settings{std::move(given.settings)}, m_codec{*given.codec}, m_metrics{*given.metrics},
+      m_core_metrics{m_metrics}, m_files{std::move(files)}, m_loop{&base::boot_time},
       m_links{log_settings, std::string{system_name}, run, m_loop, m_metrics},
       m_writer{daemon::make_writer(std::move(log.store), m_loop)},
       m_log{{log_settings.node, std::move(log.replica), std::move(log.state),
@@ -376,28 +376,27 @@
 {
     state::command command;
     command.set_job_batch(batch.SerializeAsString());
-    m_log.propose_as_leader(
-        now, std::move(command), now + batch_time,
-        [this, now, generation = m_generation,
-         id](const absl::StatusOr<state::apply_result>& result) {
-            if (!m_coordinator || m_generation != generation) {
-                return;
-            }
-            m_core_metrics.on_commit(base::boot_time() - now);
-            if (result.ok() && result->status.ok()) {
-                m_coordinator->on_batch_committed(id);
-                return;
-            }
-            log_event{severity::warning, "decisions_not_committed"}
-                .with("detail", std::string{result.status().message()})
-                .write();
-            // Not here: the coordinator may be the caller.
-            m_loop.post_completion([this, generation](base::time_point) {
-                if (m_generation == generation) {
-                    stop_leading();
-                }
-            });
-        });
+    m_log.propose_as_leader(now, std::move(command), now + batch_time,
+                            [this, now, generation = m_generation,
+                             id](const absl::StatusOr<state::apply_result>& result) {
+                                if (!m_coordinator || m_generation != generation) {
+                                    return;
+                                }
+                                m_core_metrics.on_commit(base::boot_time() - now);
+                                if (result.ok() && result->status.ok()) {
+                                    m_coordinator->on_batch_committed(id);
+                                    return;
+                                }
+                                log_event{severity::warning, "decisions_not_committed"}
+                                    .with("detail", std::string{result.status().message()})
+                                    .write();
+                                // Not here: the coordinator may be the caller.
+                                m_loop.post_completion([this, generation](base::time_point) {
+                                    if (m_generation == generation) {
+                                        stop_leading();
+                                    }
+                                });
+                            });
 }
 
 void core_parts::commit(base::time_point now, proto::jobs::Batch batch, commit_done done)
@@ -441,7 +440,7 @@
 {
     const auto path = request.path();
     if (path == caller_path) {
-        serve_caller(now, request.body, reply);
+        serve_caller(now, request, reply);
     }
     else if (path == sync_path) {
         serve_sync(now, request.body, reply);
@@ -454,11 +453,11 @@
     }
 }
 
-void core_parts::serve_caller(base::time_point now, const std::string& body,
+void core_parts::serve_caller(base::time_point now, const callers::http_request& request,
                               const callers::reply& reply)
 {
     pb::CallerCall call;
-    if (!call.ParseFromString(body)) {
+    if (!call.ParseFromString(request.body)) {
         reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
         return;
     }
@@ -469,7 +468,8 @@
         reply(message_response(answer));
         return;
     }
-    m_callers.handle(now, m_catalog.get(), call,
+    const auto waited = std::chrono::steady_clock::now() - request.received_at;
+    m_callers.handle(now, waited, m_catalog.get(), call,
                      [reply](const pb::CallerAnswer& answer) { reply(message_response(answer)); });
 }
 
--- a/src/controlplane/core_parts.h
+++ b/src/controlplane/core_parts.h
@@ -54,7 +54,8 @@
     void on_request(callers::http_request request, const callers::reply& reply);
     void serve(base::time_point now, const callers::http_request& request,
                const callers::reply& reply);
-    void serve_caller(base::time_point now, const std::string& body, const callers::reply& reply);
+    void serve_caller(base::time_point now, const callers::http_request& request,
+                      const callers::reply& reply);
     void serve_sync(base::time_point now, const std::string& body, const callers::reply& reply);
     void serve_hello(base::time_point now, const std::string& body, const callers::reply& reply);
 
--- a/src/controlplane/entry_host.cpp
+++ b/src/controlplane/entry_host.cpp
@@ -279,7 +279,7 @@
         .with("status", outcome.answer.status())
         .with("leader", m_link.leader())
         .with("took_us", std::chrono::duration_cast<std::chrono::microseconds>(took).count())
-        .with("outcome", is_answered ? "answered"
+        .with("outcome", is_answered                    ? "answered"
                          : outcome.how == kind::unknown ? "unknown"
                                                         : "not_run")
         .write();
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -22,7 +22,11 @@
 /// An entry process is connected this long after the leader's last confirmation.
 constexpr std::chrono::milliseconds confirmation_time{1'500};
 /// A call to the leader that isn't answered by then is sent again.
-constexpr std::chrono::milliseconds attempt_time{1'200};
+constexpr std::chrono::milliseconds attempt_time{1'800};
+/// Calls about itself that a leader leaves unanswered one after the other before another process
+/// is asked. One alone may be late because the leader is busy.
+constexpr std::uint32_t unanswered_syncs = 2;
+constexpr unsigned status_unavailable = 503;
 /// An election takes less; a longer wait for a leader only delays the caller's next attempt.
 constexpr std::chrono::milliseconds leaderless_patience{900};
 /// The final answer has to reach the caller before its deadline.
@@ -80,11 +84,14 @@
 {
     --m_syncs;
     if (!answer) {
-        if (asked == m_leader) {
+        if (asked == m_leader && ++m_unanswered >= unanswered_syncs) {
             set_leader(now, {}, "no answer");
         }
         return;
     }
+    if (asked == m_leader) {
+        m_unanswered = 0;
+    }
     for (const auto& core : answer->cores()) {
         m_cores.insert(core);
     }
@@ -107,6 +114,7 @@
         .with("why", why)
         .write();
     m_leader = leader;
+    m_unanswered = 0;
     m_next_sync = now;
     if (!leader.empty()) {
         m_cores.insert(leader);
@@ -152,11 +160,20 @@
                             std::optional<pb::CallerAnswer> answer, bool maybe_sent)
 {
     if (answer && !answer->not_leader() && !answer->in_doubt()) {
-        call->finished({outcome::kind::answered, *std::move(answer)});
+        // An earlier attempt may have been accepted, so a refusal of this one isn't the whole
+        // truth.
+        const bool is_refusal = answer->status() == status_unavailable;
+        if (call->maybe_run && is_refusal) {
+            wait(call);
+        }
+        else {
+            call->finished({outcome::kind::answered, *std::move(answer)});
+        }
         return;
     }
     call->maybe_run |= answer ? answer->in_doubt() : maybe_sent;
-    if (asked == m_leader && (!answer || answer->not_leader())) {
+    const bool is_unreached = !answer && !maybe_sent;
+    if (asked == m_leader && (is_unreached || (answer && answer->not_leader()))) {
         const std::string other =
             answer && answer->leader() != asked ? answer->leader() : std::string{};
         set_leader(now, other, answer ? "doesn't lead" : "no answer");
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -76,7 +76,8 @@
     base::time_point m_confirmed;
     base::time_point m_next_sync;
     std::uint64_t m_next_core = 0;
-    std::uint32_t m_syncs = 0; ///< under way
+    std::uint32_t m_syncs = 0;      ///< under way
+    std::uint32_t m_unanswered = 0; ///< by the leader, one after the other
     std::vector<shared_call> m_waiting;
 };
 
--- a/src/controlplane/metrics_endpoint.cpp
+++ b/src/controlplane/metrics_endpoint.cpp
@@ -16,8 +16,7 @@
     };
     metrics.gauge_named("process_cpu_seconds_total")
         .set(seconds(use.ru_utime) + seconds(use.ru_stime));
-    metrics.gauge_named("process_peak_memory_bytes")
-        .set(static_cast<double>(use.ru_maxrss) * 1024);
+    metrics.gauge_named("process_peak_memory_bytes").set(static_cast<double>(use.ru_maxrss) * 1024);
 }
 
 } // namespace
--- a/src/controlplane/worker_relay.cpp
+++ b/src/controlplane/worker_relay.cpp
@@ -37,9 +37,9 @@
 
 jobs::run_key from_proto(const pb::RelayRun& message)
 {
-    return {{jobs::job_number{message.job()}, message.occurrence(), message.step(),
-             message.index()},
-            message.attempt()};
+    return {
+        {jobs::job_number{message.job()}, message.occurrence(), message.step(), message.index()},
+        message.attempt()};
 }
 
 pb::RelayOrder make_order(const jobs::worker_address& to, jobs::fencing_token token)
@@ -121,9 +121,9 @@
     out.clock = jobs::worker_time{message.clock_ms()};
     out.born = base::wall_time{milliseconds{message.born_ms()}};
     for (const auto& record : message.running()) {
-        out.running.push_back({from_proto(record.run()), record.checkpoint(), record.percent(),
-                               record.has_figure() ? std::optional{record.figure()}
-                                                   : std::nullopt});
+        out.running.push_back(
+            {from_proto(record.run()), record.checkpoint(), record.percent(),
+             record.has_figure() ? std::optional{record.figure()} : std::nullopt});
     }
     for (const auto& record : message.finished()) {
         out.finished.push_back({record.number(), from_proto(record.run()),
@@ -167,9 +167,9 @@
                         std::function<void(const outcome*)> done)
 {
     order.set_id(++m_last_id);
-    m_pending.emplace(m_last_id, pending_order{relay, base::boot_time() + patience + relay_time,
-                                               std::move(done), name_of(order),
-                                               order.to().worker()});
+    m_pending.emplace(m_last_id,
+                      pending_order{relay, base::boot_time() + patience + relay_time,
+                                    std::move(done), name_of(order), order.to().worker()});
     *m_outgoing[relay].add_orders() = std::move(order);
 }
 
@@ -260,9 +260,8 @@
 void worker_relay::carry_out(const base::node_id& from, const pb::RelayOrder& order)
 {
     const auto answer_later = [this, from](outcome result) {
-        m_loop.post_completion([this, from, result = std::move(result)](base::time_point) {
-            answer(from, result);
-        });
+        m_loop.post_completion(
+            [this, from, result = std::move(result)](base::time_point) { answer(from, result); });
     };
     outcome result;
     result.set_id(order.id());
@@ -274,12 +273,12 @@
         });
         return;
     case pb::RelayOrder::kStop:
-        m_workers.stop({from_proto(order.to()), from_proto(order.stop()),
-                        jobs::fencing_token{order.token()}},
-                       [result, answer_later](bool is_done) mutable {
-                           result.set_outcome(is_done ? 1 : 0);
-                           answer_later(std::move(result));
-                       });
+        m_workers.stop(
+            {from_proto(order.to()), from_proto(order.stop()), jobs::fencing_token{order.token()}},
+            [result, answer_later](bool is_done) mutable {
+                result.set_outcome(is_done ? 1 : 0);
+                answer_later(std::move(result));
+            });
         return;
     case pb::RelayOrder::kHold:
         m_workers.hold(hold_from(order), [result, answer_later](auto how, auto list) mutable {
--- a/src/daemon/task_control.cpp
+++ b/src/daemon/task_control.cpp
@@ -218,7 +218,7 @@
     case placement::command_kind::stop:
     case placement::command_kind::checkpoint:
         m_workers_client.cancel_task(worker->second.where, command.task, now + worker_call_time,
-                                     [](const platform::worker_result&) {});
+                                     [](const workers::worker_result&) {});
         return;
     case placement::command_kind::throttle:
     case placement::command_kind::unthrottle:
@@ -234,7 +234,7 @@
     if (job == nullptr) {
         return;
     }
-    platform::start_task_request request;
+    workers::start_task_request request;
     request.task_id = command.task;
     request.job_id = command.job;
     request.lease = std::chrono::duration_cast<std::chrono::milliseconds>(command.lease);
@@ -246,7 +246,7 @@
                     static_cast<std::uint32_t>(command.size.devices.value()),
                     job->spec.run_time};
     m_workers_client.start_task(where, request, now + worker_call_time,
-                                [this, task = command.task](const platform::worker_result& result) {
+                                [this, task = command.task](const workers::worker_result& result) {
                                     m_loop.post_completion(
                                         [this, task, result](base::time_point when) {
                                             on_start_result(when, task, result);
@@ -255,13 +255,13 @@
 }
 
 void task_control::on_start_result(base::time_point now, const base::task_id& task,
-                                   const platform::worker_result& result)
+                                   const workers::worker_result& result)
 {
-    if (result.outcome == platform::worker_outcome::refused ||
-        result.outcome == platform::worker_outcome::not_sent) {
+    if (result.outcome == workers::worker_outcome::refused ||
+        result.outcome == workers::worker_outcome::not_sent) {
         log_event{severity::warning, "task_not_started"}
             .with("task", task.str())
-            .with("outcome", platform::name_of(result.outcome))
+            .with("outcome", workers::name_of(result.outcome))
             .with("detail", result.detail)
             .write();
         commit_end(now, task, proto::state::TASK_OUTCOME_REQUEUED, "",
--- a/src/daemon/task_control.h
+++ b/src/daemon/task_control.h
@@ -2,7 +2,7 @@
 
 #include "lovagebeam/base/types.h"
 #include "lovagebeam/placement/scheduler.h"
-#include "lovagebeam/platform/worker_client.h"
+#include "lovagebeam/workers/worker_client.h"
 #include "lovagebeam/telemetry/metrics.h"
 
 #include "decision_loop.h"
@@ -62,18 +62,18 @@
     void start_task(base::time_point now, const placement::worker_command& command,
                     const targets::endpoint& where);
     void on_start_result(base::time_point now, const base::task_id& task,
-                         const platform::worker_result& result);
+                         const workers::worker_result& result);
     void on_job_update(base::time_point now, const placement::job_update& update);
     void on_released(base::time_point now, const placement::placement_released& released);
     void on_placed(base::time_point now, const std::vector<placement::placement_decision>& decided,
                    const absl::StatusOr<state::apply_result>& result);
-    void report_end(base::time_point now, const base::task_id& task, platform::task_state ended,
+    void report_end(base::time_point now, const base::task_id& task, workers::task_state ended,
                     const std::string& output);
     void commit_end(base::time_point now, const base::task_id& task,
                     proto::state::TaskOutcome outcome, const std::string& output,
                     placement::task_outcome report);
-    void remember_worker(base::time_point now, const platform::worker_announcement& message);
-    void feed_worker(base::time_point now, const platform::worker_announcement& message);
+    void remember_worker(base::time_point now, const workers::worker_announcement& message);
+    void feed_worker(base::time_point now, const workers::worker_announcement& message);
     void look_for_lost_workers(base::time_point now);
     void feed_teams(base::time_point now);
     void publish_metrics();
@@ -81,7 +81,7 @@
     [[nodiscard]] bool is_repeatable(const placement_ref& ref) const;
 
     replication& m_log;
-    platform::worker_client m_workers_client;
+    workers::worker_client m_workers_client;
     decision_loop& m_loop;
     telemetry::metrics_registry& m_metrics;
     std::optional<placement::scheduler> m_scheduler;
--- a/src/daemon/task_workers.cpp
+++ b/src/daemon/task_workers.cpp
@@ -18,7 +18,7 @@
 /// A worker announces itself every 500 ms; four lost announcements make it lost.
 constexpr std::chrono::seconds worker_patience{2};
 
-placement::resources capacity_of(const platform::worker_announcement& message)
+placement::resources capacity_of(const workers::worker_announcement& message)
 {
     return {message.millicores, message.memory,
             placement::accelerators{static_cast<std::int64_t>(message.accelerators)}};
@@ -33,23 +33,23 @@
 }
 
 void task_control::report_end(base::time_point now, const base::task_id& task,
-                              platform::task_state ended, const std::string& output)
+                              workers::task_state ended, const std::string& output)
 {
     const auto ref = parse_worker_task_id(task);
     if (!ref) {
         return;
     }
     switch (ended) {
-    case platform::task_state::succeeded:
+    case workers::task_state::succeeded:
         commit_end(now, task, proto::state::TASK_OUTCOME_SUCCEEDED, output,
                    placement::task_outcome::completed);
         return;
-    case platform::task_state::checkpointed:
+    case workers::task_state::checkpointed:
         commit_end(now, task, proto::state::TASK_OUTCOME_REQUEUED, "",
                    placement::task_outcome::checkpointed);
         return;
-    case platform::task_state::stopped:
-    case platform::task_state::lease_expired:
+    case workers::task_state::stopped:
+    case workers::task_state::lease_expired:
         commit_end(now, task, proto::state::TASK_OUTCOME_REQUEUED, "",
                    placement::task_outcome::stopped);
         return;
@@ -104,7 +104,7 @@
 absl::StatusOr<std::string> task_control::on_announcement(base::time_point now,
                                                           const std::string& text)
 {
-    const auto message = platform::decode_worker_announcement(text);
+    const auto message = workers::decode_worker_announcement(text);
     if (!message.ok()) {
         return message.status();
     }
@@ -112,9 +112,9 @@
         return make_error(error_code::not_leader, "the scheduler hasn't started");
     }
     remember_worker(now, *message);
-    platform::announcement_answer answer;
+    workers::announcement_answer answer;
     for (const auto& task : message->tasks) {
-        if (platform::is_ended(task.state)) {
+        if (workers::is_ended(task.state)) {
             report_end(now, task.task_id, task.state, task.output);
         }
         else {
@@ -124,11 +124,11 @@
         }
     }
     feed_worker(now, *message);
-    return platform::encode(answer);
+    return workers::encode(answer);
 }
 
 void task_control::remember_worker(base::time_point now,
-                                   const platform::worker_announcement& message)
+                                   const workers::worker_announcement& message)
 {
     m_workers[message.worker_id] = {message.where, now, false};
     state::worker record{message.worker_id,
@@ -151,7 +151,7 @@
                   [this, id = message.worker_id](const auto&) { m_worker_proposals.erase(id); });
 }
 
-void task_control::feed_worker(base::time_point now, const platform::worker_announcement& message)
+void task_control::feed_worker(base::time_point now, const workers::worker_announcement& message)
 {
     // The state refuses placements on a worker that it doesn't know yet.
     if (m_log.state().find_worker(message.worker_id) == nullptr) {
@@ -163,7 +163,7 @@
     seen.rack = placement::rack_id{message.rack};
     seen.capacity = capacity_of(message);
     for (const auto& task : message.tasks) {
-        if (!platform::is_ended(task.state)) {
+        if (!workers::is_ended(task.state)) {
             seen.running.push_back({task.task_id, std::nullopt, std::nullopt});
         }
     }
--- a/src/jobs/advice_desk.cpp
+++ b/src/jobs/advice_desk.cpp
@@ -67,10 +67,20 @@
         }
     }
     std::vector<advice_order> out;
+    bool takes_long_calls = true;
     for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
+        const bool is_long = waiting->second.expected > m_settings.long_call;
+        if (is_long && !takes_long_calls) {
+            ++waiting;
+            continue;
+        }
         const base::node_id* name = nullptr;
-        auto* const agent = idle_agent(now, waiting->second.expected > m_settings.long_call, name);
+        auto* const agent = idle_agent(now, is_long, name);
+        if (agent == nullptr && !is_long) {
+            break;
+        }
         if (agent == nullptr) {
+            takes_long_calls = false;
             ++waiting;
             continue;
         }
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -195,7 +195,37 @@
     ready.priority = job.spec.priority;
     ready.due_by = objective_end(job.spec, from, 1);
     ready.hopeless = objective_end(job.spec, from, m_settings.planner.hopeless_objectives);
-    m_ready.emplace(key, ready);
+    if (m_ready.emplace(key, ready).second) {
+        m_order.insert(rank_of(key, ready));
+        m_hopeless_at.emplace(ready.hopeless, key);
+    }
+}
+
+coordinator::plan_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
+{
+    return {ready.is_hopeless, ready.priority, ready.due_by, key};
+}
+
+void coordinator::remove_ready_step(const step_key& key)
+{
+    const auto found = m_ready.find(key);
+    if (found != m_ready.end()) {
+        m_order.erase(rank_of(key, found->second));
+        m_hopeless_at.erase({found->second.hopeless, key});
+        m_ready.erase(found);
+    }
+}
+
+void coordinator::demote_hopeless_steps(base::wall_time wall)
+{
+    while (!m_hopeless_at.empty() && m_hopeless_at.begin()->first <= wall) {
+        const auto key = m_hopeless_at.begin()->second;
+        m_hopeless_at.erase(m_hopeless_at.begin());
+        auto& ready = m_ready.at(key);
+        m_order.erase(rank_of(key, ready));
+        ready.is_hopeless = true;
+        m_order.insert(rank_of(key, ready));
+    }
 }
 
 void coordinator::add_due_steps(base::wall_time wall)
@@ -216,7 +246,7 @@
     for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
             const step_key key{job.spec.id, run, step};
-            m_ready.erase(key);
+            remove_ready_step(key);
             m_avoided.erase(key);
             release_reservation(key);
             m_advice.forget(key);
@@ -360,6 +390,7 @@
 {
     m_workers.tick(now);
     add_due_steps(wall);
+    demote_hopeless_steps(wall);
     std::vector<step_key> expired;
     for (const auto& [key, reserved] : m_reserved) {
         if (reserved.until <= now) {
@@ -385,7 +416,7 @@
     if (m_is_dirty && now >= m_next_plan) {
         m_is_dirty = false;
         m_next_plan = now + m_settings.planner.plan_interval;
-        plan(now, wall);
+        plan(now);
     }
     m_out.advice = m_advice.take(now);
     if (m_batch.operations_size() > 0 || !m_cursors.empty()) {
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -92,43 +92,51 @@
     }
 }
 
-void coordinator::plan(base::time_point now, base::wall_time wall)
+void coordinator::plan(base::time_point now)
 {
     if (m_ready.empty() || !m_catalog) {
         return;
     }
     list_candidates(now);
-    using rank = std::tuple<bool, std::uint32_t, base::wall_time, step_key>;
-    std::vector<rank> order;
-    order.reserve(m_ready.size());
-    for (const auto& [key, ready] : m_ready) {
-        order.emplace_back(wall >= ready.hopeless, ready.priority, ready.due_by, key);
-    }
-    std::ranges::sort(order);
-    for (const auto& [is_hopeless, priority, due_by, key] : order) {
-        plan_step(now, key, m_ready.at(key));
+    std::uint32_t misfits = 0;
+    std::optional<std::pair<bool, std::uint32_t>> level;
+    for (auto entry = m_order.begin(); entry != m_order.end();) {
+        const auto& [is_hopeless, priority, due_by, key] = *entry;
+        if (level != std::pair{is_hopeless, priority}) {
+            level = {is_hopeless, priority};
+            misfits = 0;
+        }
+        if (misfits >= m_settings.planner.misfits_per_priority) {
+            entry = m_order.lower_bound({is_hopeless, priority + 1, {}, {}});
+            continue;
+        }
+        // Planning may remove the step.
+        const auto current = entry++;
+        misfits += plan_step(now, std::get<step_key>(*current)) ? 1 : 0;
     }
 }
 
-void coordinator::plan_step(base::time_point now, const step_key& key, ready_step& ready)
+bool coordinator::plan_step(base::time_point now, const step_key& planned)
 {
+    const auto key = planned;
+    auto& ready = m_ready.at(key);
     const auto* const job = m_ledger.find(key.job);
     if (job == nullptr || is_final(job->state) || job->step(key.occurrence, key.step).undone == 0) {
-        m_ready.erase(key);
-        return;
+        remove_ready_step(key);
+        return false;
     }
     const planned_step step{*job, key, job->spec.steps[key.step],
                             job->step(key.occurrence, key.step), pool_of(job->spec)};
     if (now < ready.not_before) {
         m_is_dirty = true;
-        return;
+        return false;
     }
     if (step.spec.gang && step.record.placed > 0) {
-        return;
+        return false;
     }
     release_reservation(key);
     if (!may_fit(step)) {
-        return;
+        return true;
     }
     const auto chosen = assign(now, step, ticket_rule::valid);
     commit(step, chosen);
@@ -139,12 +147,13 @@
         waiting += task.placed || task.done || is_planned ? 0 : 1;
     }
     if (waiting == 0) {
-        m_ready.erase(key);
-        return;
+        remove_ready_step(key);
+        return false;
     }
     if (advice_for(job->spec) != nullptr) {
         ask_advice(now, step, ready);
     }
+    return chosen.empty();
 }
 
 std::map<base::worker_id, std::uint32_t>
@@ -269,6 +278,7 @@
 {
     const auto booked = booked_size(step.spec);
     auto counts = counts_on_workers(step);
+    const auto eligible = eligible_workers(now, step, rule, rack);
     std::vector<assignment> chosen;
     size total;
     bool is_whole = true;
@@ -280,7 +290,7 @@
         }
         auto* const worker = is_within_limit(step.job.spec.account, total + booked) &&
                                      has_headroom(step, total + booked)
-                                 ? choose(now, step, rule, rack, counts)
+                                 ? choose(step, eligible, counts)
                                  : nullptr;
         if (worker == nullptr) {
             is_whole = false;
@@ -288,7 +298,9 @@
         }
         worker->free -= booked;
         total += booked;
-        ++counts[worker->info->id];
+        if (step.spec.max_per_worker > 0) {
+            ++counts[worker->info->id];
+        }
         chosen.push_back({index, worker});
     }
     for (const auto& one : chosen) {
@@ -300,36 +312,53 @@
     return chosen;
 }
 
+std::vector<coordinator::candidate_worker*> coordinator::eligible_workers(base::time_point now,
+                                                                          const planned_step& step,
+                                                                          ticket_rule rule,
+                                                                          const std::string* rack)
+{
+    const auto booked = booked_size(step.spec);
+    std::vector<candidate_worker*> out;
+    for_each_allowed(now, step, rule, [&](candidate_worker& one) {
+        const auto& info = *one.info;
+        if (info.pool == step.pool && booked.fits_in(one.free) &&
+            step.spec.size.fits_in(info.capacity) && (rack == nullptr || info.rack == *rack) &&
+            has_label(info, step.spec.required_label)) {
+            out.push_back(&one);
+        }
+    });
+    return out;
+}
+
+// Takes the fullest worker on which the task fits, so that room for wide tasks stays whole.
 coordinator::candidate_worker*
-coordinator::choose(base::time_point now, const planned_step& step, ticket_rule rule,
-                    const std::string* rack, const std::map<base::worker_id, std::uint32_t>& counts)
+coordinator::choose(const planned_step& step, const std::vector<candidate_worker*>& eligible,
+                    const std::map<base::worker_id, std::uint32_t>& counts) const
 {
     const auto booked = booked_size(step.spec);
     const auto avoided = m_avoided.find(step.key);
     candidate_worker* best = nullptr;
     std::tuple<bool, bool, std::int64_t> best_rank;
-    for_each_allowed(now, step, rule, [&](candidate_worker& one) {
-        const auto& info = *one.info;
-        if (info.pool != step.pool || !booked.fits_in(one.free) ||
-            !step.spec.size.fits_in(info.capacity) || (rack != nullptr && info.rack != *rack) ||
-            !has_label(info, step.spec.required_label)) {
-            return;
+    for (auto* const one : eligible) {
+        if (!booked.fits_in(one->free)) {
+            continue;
         }
+        const auto& info = *one->info;
         if (step.spec.max_per_worker > 0) {
             const auto count = counts.find(info.id);
             if (count != counts.end() && count->second >= step.spec.max_per_worker) {
-                return;
+                continue;
             }
         }
         const bool is_avoided = avoided != m_avoided.end() && avoided->second.contains(info.id);
         const bool is_far =
             !step.spec.preferred_rack.empty() && info.rack != step.spec.preferred_rack;
-        const std::tuple rank{is_avoided, is_far, one.free.millicores};
+        const std::tuple rank{is_avoided, is_far, one->free.millicores};
         if (best == nullptr || rank < best_rank) {
-            best = &one;
+            best = one;
             best_rank = rank;
         }
-    });
+    }
     return best;
 }
 
@@ -410,8 +439,7 @@
 
 // Asks for tickets where the step would fit; where it fits nowhere that is known, asks about the
 // workers that no call has named yet.
-void coordinator::ask_advice(base::time_point now, const planned_step& step,
-                             const ready_step& ready)
+void coordinator::ask_advice(base::time_point now, const planned_step& step, ready_step& ready)
 {
     const auto* const known = m_advice.find(step.key);
     if (known != nullptr && known->is_asking) {
@@ -424,6 +452,10 @@
     const auto& policy = *advice_for(step.job.spec);
     const auto wanted = assign(now, step, ticket_rule::any);
     if (wanted.empty()) {
+        if (now < ready.ask_not_before) {
+            return;
+        }
+        ready.ask_not_before = now + m_settings.planner.ask_interval;
         ask_about(now, step.key, step.job.spec, step.pool, policy, ready.due_by);
         return;
     }
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -13,7 +13,7 @@
 using callers::error_response;
 using callers::http_request;
 using callers::reply;
-using platform::task_state;
+using workers::task_state;
 using telemetry::log_event;
 using telemetry::severity;
 
@@ -51,7 +51,7 @@
 
 void worker::start(const http_request& request, const reply& reply)
 {
-    const auto message = platform::decode_start_task_request(request.body);
+    const auto message = workers::decode_start_task_request(request.body);
     if (!message.ok()) {
         reply.send(error_response(400, base::error_code::invalid_request,
                                   std::string{message.status().message()}));
@@ -76,7 +76,7 @@
     reply.send(json_response("{}"));
 }
 
-void worker::add_task(const platform::start_task_request& message)
+void worker::add_task(const workers::start_task_request& message)
 {
     const auto now = std::chrono::steady_clock::now();
     const base::task_id id = message.task_id;
@@ -125,7 +125,7 @@
 
 void worker::end(task& ended, task_state state)
 {
-    if (platform::is_ended(ended.report.state)) {
+    if (workers::is_ended(ended.report.state)) {
         return;
     }
     ended.report.state = state;
@@ -139,7 +139,7 @@
 {
     const std::lock_guard lock{m_mutex};
     const auto found = m_tasks.find(id);
-    if (found == m_tasks.end() || platform::is_ended(found->second.report.state)) {
+    if (found == m_tasks.end() || workers::is_ended(found->second.report.state)) {
         return;
     }
     if (found->second.lease_end > std::chrono::steady_clock::now()) {
@@ -149,13 +149,13 @@
     end(found->second, task_state::lease_expired);
 }
 
-bool worker::has_room_for(const platform::task_spec& spec) const
+bool worker::has_room_for(const workers::task_spec& spec) const
 {
     auto cores = spec.millicores;
     auto memory = spec.memory;
     auto accelerators = spec.accelerators;
     for (const auto& [id, held] : m_tasks) {
-        if (!platform::is_ended(held.report.state)) {
+        if (!workers::is_ended(held.report.state)) {
             cores += held.spec.millicores;
             memory += held.spec.memory;
             accelerators += held.spec.accelerators;
@@ -168,7 +168,7 @@
 std::string worker::announcement(const targets::endpoint& where)
 {
     const std::lock_guard lock{m_mutex};
-    platform::worker_announcement message;
+    workers::worker_announcement message;
     message.worker_id = m_settings.id;
     message.where = where;
     message.failure_domain = base::failure_domain{m_settings.failure_domain};
@@ -178,18 +178,18 @@
     message.accelerators = m_settings.accelerators;
     const auto now = std::chrono::steady_clock::now();
     std::erase_if(m_tasks, [now](const auto& entry) {
-        return platform::is_ended(entry.second.report.state) &&
+        return workers::is_ended(entry.second.report.state) &&
                entry.second.ended_at + report_time < now;
     });
     for (const auto& [id, held] : m_tasks) {
         message.tasks.push_back(held.report);
     }
-    return platform::encode(message);
+    return workers::encode(message);
 }
 
 void worker::renew_leases(const std::string& answer, base::time_point sent)
 {
-    const auto message = platform::decode_announcement_answer(answer);
+    const auto message = workers::decode_announcement_answer(answer);
     if (!message.ok()) {
         log_event{severity::warning, "announcement_answer_malformed"}
             .with("detail", std::string{message.status().message()})
--- a/src/platform/protocol.cpp
+++ b/src/workers/protocol.cpp
@@ -1,4 +1,4 @@
-#include "lovagebeam/platform/protocol.h"
+#include "lovagebeam/workers/protocol.h"
 
 #include "lovagebeam/targets/json_fields.h"
 
@@ -9,7 +9,7 @@
 #include <limits>
 #include <utility>
 
-namespace lovagebeam::platform {
+namespace lovagebeam::workers {
 namespace {
 
 namespace json = boost::json;
@@ -202,4 +202,4 @@
     return status.ok() ? absl::StatusOr<start_task_request>{std::move(result)} : status;
 }
 
-} // namespace lovagebeam::platform
+} // namespace lovagebeam::workers
--- a/src/platform/worker_client.cpp
+++ b/src/workers/worker_client.cpp
@@ -1,11 +1,11 @@
-#include "lovagebeam/platform/worker_client.h"
+#include "lovagebeam/workers/worker_client.h"
 
 #include "lovagebeam/targets/protocol.h"
 
 #include <array>
 #include <utility>
 
-namespace lovagebeam::platform {
+namespace lovagebeam::workers {
 namespace {
 
 constexpr unsigned status_not_found = 404;
@@ -74,4 +74,4 @@
                   convert(std::move(callback), true));
 }
 
-} // namespace lovagebeam::platform
+} // namespace lovagebeam::workers
--- /dev/null
+++ b/tests/adapter/worker_messages_test.cpp
@@ -0,0 +1,111 @@
+#include "lovagebeam/base/errors.h"
+
+#include "task_names.h"
+#include "worker_messages.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <string>
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::platform;
+
+class worker_messages_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_messages_test);
+    CPPUNIT_TEST(task_name_parsed_is_the_same_task);
+    CPPUNIT_TEST(task_name_malformed_names_no_task);
+    CPPUNIT_TEST(hold_answer_with_rows_is_read);
+    CPPUNIT_TEST(hold_answer_with_unreadable_row_is_refused);
+    CPPUNIT_TEST(heartbeat_valid_is_read);
+    CPPUNIT_TEST(heartbeat_of_another_writer_is_refused);
+    CPPUNIT_TEST(start_without_checkpoint_leaves_it_out);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void task_name_parsed_is_the_same_task()
+    {
+        const jobs::task_key task{jobs::job_number{0x0c0e7a21d94b36f8}, 3, 1, 17};
+        CPPUNIT_ASSERT_EQUAL(std::string{"0c0e7a21d94b36f8.3.1.17"}, task_name(task));
+        CPPUNIT_ASSERT(task == parse_task_name(task_name(task)));
+    }
+
+    void task_name_malformed_names_no_task()
+    {
+        for (const auto* const name : {"", "0c0e7a21d94b36f8", "0c0e7a21d94b36f8.0.1", "1.0.0.0",
+                                       "0c0e7a21d94b36f8.0.0.x", "0c0e7a21d94b36f8.0.0.0.0"}) {
+            CPPUNIT_ASSERT_MESSAGE(name, !parse_task_name(name));
+        }
+    }
+
+    void hold_answer_with_rows_is_read()
+    {
+        const auto answer = decode_hold(
+            R"({"clockMs":482113,"born":77,"running":[["5c0e7a21d94b36f8.0.1.17",2,"cp",41,9]],
+                "finished":[[58,"5c0e7a21d94b36f8.0.1.9",1,"done",""]]})",
+            base::wall_time{});
+        CPPUNIT_ASSERT(answer.ok());
+        CPPUNIT_ASSERT(jobs::worker_time{482113} == answer->clock);
+        CPPUNIT_ASSERT(base::wall_time{std::chrono::milliseconds{77}} == answer->born);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{41}, answer->running.at(0).percent);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{9}, *answer->running.at(0).figure);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{58}, answer->finished.at(0).number);
+        CPPUNIT_ASSERT(jobs::end_kind::done == answer->finished.at(0).how);
+    }
+
+    // Guards against taking a run for lost because its row couldn't be read.
+    void hold_answer_with_unreadable_row_is_refused()
+    {
+        for (const auto* const text :
+             {R"({"running":[],"finished":[]})", R"({"clockMs":1,"running":[["x",1,"",0]]})",
+              R"({"clockMs":1,"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"vanished",""]]})",
+              R"({"clockMs":1,"running":{}})"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !decode_hold(text, base::wall_time{}).ok());
+        }
+    }
+
+    void heartbeat_valid_is_read()
+    {
+        const auto report = decode_heartbeat(
+            "i-1", R"({"service":"s","address":"10.128.0.9:8080","zone":"z","version":"v1",
+                       "slots":8,"state":"draining","coldRemainingMs":0,
+                       "capacity":{"cpu":16000,"memoryRequestMb":32768,"gpu":0},
+                       "labels":["a","r1-3"],"clockMs":482113,"sequence":4,"born":9})");
+        CPPUNIT_ASSERT(report.ok());
+        CPPUNIT_ASSERT_EQUAL(std::uint16_t{8080}, report->info.port);
+        CPPUNIT_ASSERT_EQUAL(std::string{"r1-3"}, report->info.rack);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{16000}, report->info.capacity.millicores);
+        CPPUNIT_ASSERT(report->info.draining);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, report->sequence);
+    }
+
+    // Guards against workers made up from documents of other programs.
+    void heartbeat_of_another_writer_is_refused()
+    {
+        for (const auto* const text :
+             {"", "\xff\xfe", "{}", R"({"service":"s","address":"nowhere","state":"ready"})",
+              R"({"service":"s","address":"10.0.0.1:80","state":"asleep","capacity":{}})",
+              R"({"service":5,"address":"10.0.0.1:80","state":"ready","capacity":{}})",
+              R"({"service":"s","address":"10.0.0.1:80","state":"ready","capacity":[]})"}) {
+            CPPUNIT_ASSERT_MESSAGE(text, !decode_heartbeat("i-1", text).ok());
+        }
+    }
+
+    void start_without_checkpoint_leaves_it_out()
+    {
+        jobs::start_order order;
+        order.run = {{jobs::job_number{1}, 0, 0, 2}, 3};
+        order.payload = "p";
+        order.deadline = jobs::worker_time{5};
+        order.token = jobs::fencing_token{7};
+        CPPUNIT_ASSERT_EQUAL(
+            std::string{R"({"task":"0000000000000001.0.0.2","attempt":3,"spec":"p",)"
+                        R"("deadlineMs":5,"fencingToken":7})"},
+            encode_start(order));
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_messages_test);
+
+} // namespace
--- a/tests/platform/platform_test.cpp
+++ b/tests/workers/worker_protocol_test.cpp
@@ -1,6 +1,6 @@
 #include "lovagebeam/base/errors.h"
-#include "lovagebeam/platform/protocol.h"
-#include "lovagebeam/platform/worker_client.h"
+#include "lovagebeam/workers/protocol.h"
+#include "lovagebeam/workers/worker_client.h"
 
 #include "support/net.h"
 
@@ -15,7 +15,7 @@
 
 using namespace std::chrono_literals;
 using namespace lovagebeam;
-using namespace lovagebeam::platform;
+using namespace lovagebeam::workers;
 
 start_task_request make_start()
 {
@@ -43,8 +43,8 @@
             .tasks = {{base::task_id{"j1/0"}, task_state::failed, "out"}}};
 }
 
-class platform_test : public CppUnit::TestFixture {
-    CPPUNIT_TEST_SUITE(platform_test);
+class worker_protocol_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(worker_protocol_test);
     CPPUNIT_TEST(messages_encoded_and_decoded_are_equal);
     CPPUNIT_TEST(messages_invalid_field_gives_its_path);
     CPPUNIT_TEST(task_state_every_name_is_decoded);
@@ -190,6 +190,6 @@
     worker_client m_workers{m_client};
 };
 
-CPPUNIT_TEST_SUITE_REGISTRATION(platform_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(worker_protocol_test);
 
 } // namespace
