Agree on the first voters among the seeds that have a disk; add explain-log

Ruled out: four voters with another quorum; any two of four disks may go.

Change: two core processes a failure domain. Seeds may then lack a disk, so the first voters are the seeds that have one, agreed on before the first log is opened; processes without a disk relay calls and redirect. lovagebeamctl explain-log orders the lines of one request across clocks that differ.

--- a/include/lovagebeam/standin/worker.h
+++ b/include/lovagebeam/standin/worker.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lovagebeam/callers/http_server.h"
-#include "lovagebeam/workers/protocol.h"
 #include "lovagebeam/standin/timer_queue.h"
+#include "lovagebeam/workers/protocol.h"
 
 #include <chrono>
 #include <cstdint>
--- a/include/lovagebeam/workers/worker_client.h
+++ b/include/lovagebeam/workers/worker_client.h
@@ -1,8 +1,8 @@
 #pragma once
 
 #include "lovagebeam/base/types.h"
-#include "lovagebeam/workers/protocol.h"
 #include "lovagebeam/targets/http_client.h"
+#include "lovagebeam/workers/protocol.h"
 
 #include <functional>
 #include <string>
--- a/programs/lovagebeamctl/commands.cpp
+++ b/programs/lovagebeamctl/commands.cpp
@@ -253,7 +253,8 @@
                       "  drain host|target ID    give it no new work\n"
                       "  undrain host|target ID  take that back\n"
                       "  explain job ID          why a job is where it is\n"
-                      "  explain teams           what each team runs beside its share\n";
+                      "  explain teams           what each team runs beside its share\n"
+                      "  explain-log ID FILE...  the log lines of one job or request, in order\n";
     for (const auto& command : list_table) {
         out += "  ";
         out += command.name;
--- a/programs/lovagebeamctl/main.cpp
+++ b/programs/lovagebeamctl/main.cpp
@@ -1,4 +1,5 @@
 #include "lovagebeam/base/errors.h"
+#include "lovagebeam/operators/log_explanation.h"
 #include "lovagebeam/settings/daemon_settings.h"
 
 #include "api_client.h"
@@ -7,6 +8,7 @@
 #include <boost/program_options.hpp>
 
 #include <exception>
+#include <fstream>
 #include <iostream>
 #include <optional>
 #include <stdexcept>
@@ -100,12 +102,48 @@
     return is_unknown ? exit_unknown : exit_refused;
 }
 
+// explain-log ID FILE...: needs neither a host nor a credential.
+int explain_log(const std::vector<std::string>& words)
+{
+    if (words.size() < 3) {
+        std::cerr << "lovagebeamctl: explain-log needs an id and one or more log files\n";
+        return exit_usage;
+    }
+    std::vector<operators::log_line> lines;
+    for (std::size_t i = 2; i < words.size(); ++i) {
+        std::ifstream file{words[i]};
+        if (!file) {
+            std::cerr << "lovagebeamctl: can't read " << words[i] << '\n';
+            return exit_usage;
+        }
+        std::string text;
+        operators::log_line line;
+        while (std::getline(file, text)) {
+            if (operators::parse_log_line(text, line)) {
+                lines.push_back(line);
+            }
+        }
+    }
+    const auto found = operators::explain(words[1], lines);
+    for (const auto& line : found) {
+        std::cout << line.text << '\n';
+    }
+    if (found.empty()) {
+        std::cerr << "lovagebeamctl: no line names " << words[1] << '\n';
+        return exit_refused;
+    }
+    return exit_ok;
+}
+
 int run(int argc, char** argv)
 {
     const auto chosen = parse(argc, argv);
     if (!chosen) {
         return exit_ok;
     }
+    if (chosen->words.front() == "explain-log") {
+        return explain_log(chosen->words);
+    }
     const auto credential = settings::load_secret(chosen->credential_file);
     if (!credential.ok()) {
         std::cerr << "lovagebeamctl: " << credential.status().message() << '\n';
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -2,6 +2,7 @@
 
 #include "lovagebeam/telemetry/log.h"
 
+#include "founding.h"
 #include "internal_calls.h"
 
 #include <algorithm>
@@ -38,15 +39,44 @@
 
 } // namespace
 
-core_group::core_group(const settings::process_settings& settings, consensus::member identity,
+core_group::core_group(const settings::process_settings& settings,
+                       std::vector<std::string> founders, consensus::member identity,
                        daemon::replication& log, daemon::peer_links& links,
                        targets::http_client& client, daemon::decision_loop& loop)
-    : m_settings{settings}, m_identity{std::move(identity)}, m_log{log}, m_links{links},
+    : m_settings{settings}, m_founders{std::move(founders)}, m_identity{std::move(identity)}, m_log{log}, m_links{links},
       m_client{client}, m_loop{loop}, m_planner{repair_settings_for(settings)}
 {
     for (const auto& seed : settings.seeds) {
         m_seeds.insert(seed.address);
     }
+    m_durable[settings.address] = !settings.data_folder.empty();
+}
+
+std::vector<std::string> core_group::present_cores(base::time_point now) const
+{
+    std::vector<std::string> out;
+    for (const auto& [id, core] : m_heard) {
+        if (now - core.heard < presence_time && id != m_identity.id) {
+            out.push_back(id.str());
+        }
+    }
+    return out;
+}
+
+// A process without a disk takes part in the choice of the first voters while it serves already.
+void core_group::look_for_founders(base::time_point now)
+{
+    if (m_started == base::time_point{}) {
+        m_started = now;
+    }
+    if (!m_settings.is_first_start || !m_founders.empty()) {
+        return;
+    }
+    const std::vector<std::string> seeds{m_seeds.begin(), m_seeds.end()};
+    const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started);
+    if (auto chosen = choose_founders(seeds, m_durable, m_settings.address, waited)) {
+        m_founders = *std::move(chosen);
+    }
 }
 
 std::vector<std::string> core_group::cores() const
@@ -91,6 +121,7 @@
         m_last_hello = now;
         say_hello(now);
     }
+    look_for_founders(now);
     update_peers();
 }
 
@@ -152,6 +183,10 @@
 void core_group::on_hello_answer(base::time_point now, const std::string& asked,
                                  const pb::CoreHelloAnswer& answer)
 {
+    m_durable[asked] = answer.durable();
+    if (m_founders.empty()) {
+        m_founders = {answer.founders().begin(), answer.founders().end()};
+    }
     m_told = {answer.cores().begin(), answer.cores().end()};
     const std::string leader = answer.is_leader() ? asked : answer.leader();
     if (!leader.empty() && leader != m_settings.address) {
@@ -167,7 +202,12 @@
                    base::failure_domain{message.failure_domain()},
                    message.durable(),
                    now};
+    m_durable[message.core()] = message.durable();
     pb::CoreHelloAnswer answer;
+    answer.set_durable(!m_settings.data_folder.empty());
+    for (const auto& founder : m_founders) {
+        answer.add_founders(founder);
+    }
     answer.set_is_leader(m_log.is_established_leader(now));
     answer.set_leader(leader(now));
     for (const auto& core : cores()) {
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -22,7 +22,9 @@
 /// identified by the IP address of its host. Not thread-safe; lives on the decisions thread.
 class core_group {
 public:
-    core_group(const settings::process_settings& settings, consensus::member identity,
+    /// `founders` are the first voters, if this process was among them.
+    core_group(const settings::process_settings& settings, std::vector<std::string> founders,
+               consensus::member identity,
                daemon::replication& log, daemon::peer_links& links, targets::http_client& client,
                daemon::decision_loop& loop);
 
@@ -32,6 +34,8 @@
 
     /// Addresses of the core processes that this one knows.
     [[nodiscard]] std::vector<std::string> cores() const;
+    /// Addresses of the other core processes that are there, with a disk or without.
+    [[nodiscard]] std::vector<std::string> present_cores(base::time_point now) const;
     /// Address of the leader as far as known; empty otherwise.
     [[nodiscard]] std::string leader(base::time_point now) const;
 
@@ -53,7 +57,12 @@
     [[nodiscard]] bool is_member(const base::node_id& id) const;
     [[nodiscard]] consensus::repair_view repair_view(base::time_point now) const;
 
+    void look_for_founders(base::time_point now);
+
     const settings::process_settings& m_settings;
+    std::vector<std::string> m_founders;
+    std::map<std::string, bool> m_durable; ///< of the hosts that were heard at the first start
+    base::time_point m_started;
     consensus::member m_identity;
     daemon::replication& m_log;
     daemon::peer_links& m_links;
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -54,6 +54,17 @@
     return response;
 }
 
+std::vector<std::string> founders_of(const settings::daemon_settings& settings)
+{
+    std::vector<std::string> out;
+    for (const auto& member : settings.members) {
+        if (member.role == settings::member_role::voter) {
+            out.push_back(member.node.str());
+        }
+    }
+    return out;
+}
+
 jobs::coordinator_settings coordinator_settings_for(const settings::process_settings& settings)
 {
     jobs::coordinator_settings out;
@@ -73,7 +84,7 @@
       m_log{{log_settings.node, std::move(log.replica), std::move(log.state),
              std::move(log.snapshot), std::move(log.snapshot_bytes), &m_links, m_writer.get(),
              this}},
-      m_group{m_settings, log.identity, m_log, m_links, m_client, m_loop},
+      m_group{m_settings, founders_of(log_settings), log.identity, m_log, m_links, m_client, m_loop},
       m_worker_port{*given.workers, m_links, m_loop},
       m_callers{{&m_codec, [this]() -> const jobs::ledger& { return records(); },
                  [this](base::time_point now, proto::jobs::Operation operation, commit_done done) {
@@ -225,9 +236,7 @@
 
 void core_parts::update_relays()
 {
-    auto cores = m_group.cores();
-    std::erase(cores, m_settings.address);
-    m_worker_port.set_cores(std::move(cores));
+    m_worker_port.set_cores(m_group.present_cores(base::boot_time()));
     m_worker_port.set_worker_count(records().workers().size());
 }
 
--- /dev/null
+++ b/src/controlplane/founding.cpp
@@ -0,0 +1,198 @@
+#include "founding.h"
+
+#include "lovagebeam/base/errors.h"
+#include "lovagebeam/callers/http_server.h"
+#include "lovagebeam/targets/http_client.h"
+#include "lovagebeam/telemetry/log.h"
+
+#include "controlplane.pb.h"
+#include "internal_calls.h"
+
+#include <algorithm>
+#include <condition_variable>
+#include <mutex>
+#include <set>
+
+namespace lovagebeam::controlplane {
+namespace {
+
+namespace pb = proto::controlplane;
+
+using base::error_code;
+using base::make_error;
+using std::chrono::milliseconds;
+using telemetry::log_event;
+using telemetry::severity;
+
+/// All hosts of a first start begin within a fraction of a second.
+constexpr milliseconds arrival_time{2'000};
+constexpr milliseconds ask_interval{50};
+constexpr milliseconds ask_time{500};
+constexpr std::chrono::seconds give_up_time{20};
+
+class founding {
+public:
+    explicit founding(const settings::process_settings& settings) : m_settings{settings}
+    {
+        for (const auto& seed : settings.seeds) {
+            m_seeds.push_back(seed.address);
+        }
+        m_durable[settings.address] = true;
+    }
+
+    absl::StatusOr<std::vector<std::string>> run()
+    {
+        auto server =
+            callers::http_server_builder{}
+                .listen(m_settings.address, core_port(m_settings))
+                .handler([this](const callers::http_request& request,
+                                const callers::reply& reply) { on_hello(request, reply); })
+                .build();
+        if (!server.ok()) {
+            return server.status();
+        }
+        if (auto status = (*server)->start(); !status.ok()) {
+            return status;
+        }
+        m_client.start();
+        const bool is_known = wait_for_founders();
+        m_client.stop();
+        (*server)->stop();
+        const std::lock_guard lock{m_mutex};
+        if (!is_known) {
+            return make_error(error_code::timed_out, "the other core processes didn't answer");
+        }
+        return m_founders;
+    }
+
+private:
+    bool wait_for_founders()
+    {
+        const auto begin = std::chrono::steady_clock::now();
+        std::unique_lock lock{m_mutex};
+        while (m_founders.empty()) {
+            const auto waited = std::chrono::duration_cast<milliseconds>(
+                std::chrono::steady_clock::now() - begin);
+            if (waited >= give_up_time) {
+                return false;
+            }
+            if (auto chosen = choose_founders(m_seeds, m_durable, m_settings.address, waited)) {
+                m_founders = *std::move(chosen);
+                break;
+            }
+            lock.unlock();
+            ask_all();
+            lock.lock();
+            m_changed.wait_for(lock, ask_interval);
+        }
+        return true;
+    }
+
+    void ask_all()
+    {
+        pb::CoreHello hello;
+        hello.set_core(m_settings.address);
+        hello.set_failure_domain(m_settings.domain.str());
+        hello.set_durable(true);
+        for (const auto& seed : m_seeds) {
+            if (seed == m_settings.address) {
+                continue;
+            }
+            post_message<pb::CoreHelloAnswer>(
+                m_client, seed, core_port(m_settings), hello_path, hello, ask_time,
+                [this, seed](std::optional<pb::CoreHelloAnswer> answer, call_failure) {
+                    if (answer) {
+                        learn(seed, answer->durable(),
+                              {answer->founders().begin(), answer->founders().end()});
+                    }
+                });
+        }
+    }
+
+    void learn(const std::string& core, bool is_durable, std::vector<std::string> founders)
+    {
+        const std::lock_guard lock{m_mutex};
+        m_durable[core] = is_durable;
+        if (m_founders.empty()) {
+            m_founders = std::move(founders);
+        }
+        m_changed.notify_one();
+    }
+
+    void on_hello(const callers::http_request& request, const callers::reply& reply)
+    {
+        pb::CoreHello hello;
+        if (request.path() != hello_path || !hello.ParseFromString(request.body)) {
+            reply(callers::error_response(503, error_code::no_quorum, "the system is starting"));
+            return;
+        }
+        learn(hello.core(), hello.durable(), {});
+        pb::CoreHelloAnswer answer;
+        answer.set_durable(true);
+        {
+            const std::lock_guard lock{m_mutex};
+            for (const auto& founder : m_founders) {
+                answer.add_founders(founder);
+            }
+        }
+        callers::http_response response;
+        response.content_type = "application/octet-stream";
+        response.body = answer.SerializeAsString();
+        reply(std::move(response));
+    }
+
+    const settings::process_settings& m_settings;
+    std::vector<std::string> m_seeds;
+    targets::http_client m_client;
+    std::mutex m_mutex;
+    std::condition_variable m_changed;
+    std::map<std::string, bool> m_durable;
+    std::vector<std::string> m_founders;
+};
+
+} // namespace
+
+std::optional<std::vector<std::string>>
+choose_founders(const std::vector<std::string>& seeds, const std::map<std::string, bool>& durable,
+                const std::string& self, milliseconds waited)
+{
+    std::set<std::string> founders;
+    for (const auto& seed : seeds) {
+        const auto found = durable.find(seed);
+        if (found == durable.end()) {
+            return std::nullopt;
+        }
+        if (found->second) {
+            founders.insert(seed);
+        }
+    }
+    if (!founders.empty()) {
+        return std::vector<std::string>{founders.begin(), founders.end()};
+    }
+    const bool is_first_seed = !seeds.empty() && self == *std::ranges::min_element(seeds);
+    if (!is_first_seed || waited < arrival_time) {
+        return std::nullopt;
+    }
+    const auto host = std::ranges::find_if(durable, [](const auto& entry) { return entry.second; });
+    return host == durable.end() ? std::nullopt : std::optional{std::vector{host->first}};
+}
+
+absl::StatusOr<std::vector<std::string>> find_founders(const settings::process_settings& settings)
+{
+    auto found = founding{settings}.run();
+    log_event line{found.ok() ? severity::info : severity::warning, "founders_known"};
+    if (found.ok()) {
+        std::string list;
+        for (const auto& founder : *found) {
+            list += (list.empty() ? "" : ",") + founder;
+        }
+        line.with("founders", list);
+    }
+    else {
+        line.with("detail", std::string{found.status().message()});
+    }
+    line.write();
+    return found;
+}
+
+} // namespace lovagebeam::controlplane
--- a/src/controlplane/group_file.cpp
+++ b/src/controlplane/group_file.cpp
@@ -1,5 +1,6 @@
 #include "group_file.h"
 
+#include "founding.h"
 #include "internal_calls.h"
 
 #include <algorithm>
@@ -77,19 +78,19 @@
     if (std::ranges::find(*names, file_name) != names->end()) {
         return read_group(files, settings.data_folder + '/' + std::string{file_name});
     }
-    std::vector<std::string> seeds;
-    for (const auto& seed : settings.seeds) {
-        seeds.push_back(seed.address);
+    if (!settings.is_first_start || !names->empty()) {
+        return std::vector<std::string>{};
     }
-    std::ranges::sort(seeds);
-    const bool is_seed = std::ranges::find(seeds, settings.address) != seeds.end();
-    if (!settings.is_first_start || !is_seed || !names->empty()) {
+    auto founders = find_founders(settings);
+    const bool is_founder =
+        founders.ok() && std::ranges::find(*founders, settings.address) != founders->end();
+    if (!is_founder) {
         return std::vector<std::string>{};
     }
-    if (auto status = write_group(files, settings.data_folder, seeds); !status.ok()) {
+    if (auto status = write_group(files, settings.data_folder, *founders); !status.ok()) {
         return status;
     }
-    return seeds;
+    return founders;
 }
 
 settings::daemon_settings log_settings(const settings::process_settings& settings,
--- a/src/controlplane/group_file.h
+++ b/src/controlplane/group_file.h
@@ -11,8 +11,8 @@
 namespace lovagebeam::controlplane {
 
 /// Returns the addresses of the first group's voters as this data folder remembers them, or none
-/// for a folder that wasn't there at the first start. On the first start, a process whose address
-/// is among the seeds remembers these; later seeds may differ.
+/// for a folder that isn't one of theirs. On the first start they are agreed on with the other core
+/// processes (see find_founders) and remembered; later seeds may differ. Blocks meanwhile.
 absl::StatusOr<std::vector<std::string>> first_voters(const settings::process_settings& settings,
                                                       storage::file_system& files);
 
--- a/src/daemon/task_control.h
+++ b/src/daemon/task_control.h
@@ -2,8 +2,8 @@
 
 #include "lovagebeam/base/types.h"
 #include "lovagebeam/placement/scheduler.h"
-#include "lovagebeam/workers/worker_client.h"
 #include "lovagebeam/telemetry/metrics.h"
+#include "lovagebeam/workers/worker_client.h"
 
 #include "decision_loop.h"
 #include "replication.h"
--- a/src/standin/worker.cpp
+++ b/src/standin/worker.cpp
@@ -13,9 +13,9 @@
 using callers::error_response;
 using callers::http_request;
 using callers::reply;
-using workers::task_state;
 using telemetry::log_event;
 using telemetry::severity;
+using workers::task_state;
 
 constexpr std::string_view tasks_path = "/lovagebeam/v1/tasks";
 /// Ended tasks are reported for this long, so that a lost announcement loses no report.
