Add a randomized soak of the real programs under faults from outside

Cause: the promises were checked by the bench and by simulated workers only. Change: soak/ starts core and entry processes on loopback addresses, stand-in workers behind a proxy, an operator and callers that keep their connections, and kills, pauses, stops, wipes and reloads processes, crashes and cuts workers and delays, resets and silences connections, overlapping. It checks TWICE, LIMIT, UNASKED, REFUSED and LOST from outside. Ruled out: clocks and storage that misbehave are not injected yet.

--- /dev/null
+++ b/soak/fleet.py
@@ -0,0 +1,230 @@
+"""Stand-ins for the workers, the advice service and the operator, written from the published protocol.
+
+A worker keeps fencing tokens, attempts, leases and numbered ends as the protocol says, and reports every
+start and end to the ledger of the soak, which checks them.
+"""
+
+import json
+import threading
+import time
+from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
+
+STOP_SECONDS = 0.1
+GANG_SECONDS = 3.0
+LONGEST_LEASE_MS = 6000
+
+
+def now_ms():
+    return int(time.monotonic() * 1000)
+
+
+class Ledger:
+    """What every worker runs, and the violations that follow from it."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.running = {}  # task -> {worker name: attempt}
+        self.done = set()
+        self.starts = 0
+        self.cancelled = {}  # job -> time of the acknowledgement
+        self.known_jobs = set()
+        self.violations = []
+
+    def violate(self, text):
+        self.violations.append(f"{time.strftime('%H:%M:%S')} {text}")
+
+    def on_start(self, worker, task, attempt):
+        job = task.split(".")[0]
+        with self.lock:
+            self.starts += 1
+            others = self.running.setdefault(task, {})
+            if others:
+                self.violate(f"TWICE {task}#{attempt} on {worker}, also {others}")
+            if task in self.done:
+                self.violate(f"TWICE {task}#{attempt} on {worker} after its end was taken note of")
+            if job not in self.known_jobs:
+                self.violate(f"UNASKED {task}#{attempt} on {worker}")
+            if time.monotonic() - self.cancelled.get(job, time.monotonic()) > 3:
+                self.violate(f"UNASKED {task}#{attempt} on {worker}, its job is cancelled")
+            others[worker] = attempt
+
+    def on_end(self, worker, task):
+        with self.lock:
+            self.running.get(task, {}).pop(worker, None)
+
+    def on_noted(self, task):
+        with self.lock:
+            self.done.add(task)
+
+
+class QuietServer(ThreadingHTTPServer):
+    allow_reuse_address = True
+    daemon_threads = True
+
+    def handle_error(self, request, client_address):
+        """Connections end while an answer is written; that is what the soak does to them."""
+
+
+class Worker:
+    """One worker. `advertised` is the address of the proxy in front of it."""
+
+    def __init__(self, name, address, advertised, ledger, capacity):
+        self.name, self.address, self.advertised = name, address, advertised
+        self.ledger, self.capacity = ledger, capacity
+        self.lock = threading.Condition()
+        self.is_up = False
+        self.server = None
+        self.begin_life()
+
+    def begin_life(self):
+        with self.lock:
+            self.born = int(time.time() * 1000)
+            self.clock_base = now_ms()
+            self.fence, self.lease, self.sequence, self.last_end = 0, 0, 0, 0
+            self.runs, self.ends, self.barred = {}, [], {}
+
+    def clock(self):
+        return now_ms() - self.clock_base
+
+    def start_serving(self):
+        worker = self
+
+        class Handler(BaseHTTPRequestHandler):
+            protocol_version = "HTTP/1.1"
+
+            def log_message(self, *args):
+                pass
+
+            def do_POST(self):
+                body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+                status, answer = worker.serve(self.path, body)
+                if not worker.is_up:
+                    self.close_connection = True
+                    return
+                data = json.dumps(answer).encode()
+                self.send_response(status)
+                self.send_header("Content-Type", "application/json")
+                self.send_header("Content-Length", str(len(data)))
+                self.end_headers()
+                self.wfile.write(data)
+
+        self.server = QuietServer(self.address, Handler)
+        self.is_up = True
+        threading.Thread(target=self.server.serve_forever, args=(0.05,), daemon=True).start()
+        threading.Thread(target=self.advance_loop, daemon=True).start()
+
+    def crash(self):
+        with self.lock:
+            self.is_up = False
+            for task in list(self.runs):
+                self.ledger.on_end(self.name, task)
+            self.runs = {}
+            self.lock.notify_all()
+
+    def restart(self):
+        self.begin_life()
+        self.is_up = True
+
+    def advance_loop(self):
+        while True:
+            time.sleep(0.01)
+            with self.lock:
+                if self.is_up:
+                    self.advance()
+
+    def advance(self):
+        now = time.monotonic()
+        for task, run in list(self.runs.items()):
+            if self.clock() >= self.lease:
+                self.end(task, "lapsed")
+            elif run["stops"] and now >= run["stops"]:
+                self.end(task, "stopped")
+            elif run["ends"] and now >= run["ends"]:
+                self.end(task, "done")
+
+    def end(self, task, how):
+        run = self.runs.pop(task)
+        self.last_end += 1
+        self.barred[task] = max(self.barred.get(task, 0), run["attempt"])
+        self.ends.append([self.last_end, task, run["attempt"], how, ""])
+        self.ledger.on_end(self.name, task)
+        self.lock.notify_all()
+
+    def serve(self, path, body):
+        with self.lock:
+            self.advance()
+            if not self.is_up:
+                return 503, {}
+            if body.get("fencingToken", 0) < self.fence:
+                return 409, {"clockMs": self.clock(), "reason": "fence"}
+            self.fence = body.get("fencingToken", 0)
+            if path.endswith("/run-start"):
+                return self.start(body)
+            if path.endswith("/run-stop"):
+                return self.stop(body)
+            if path.endswith("/hold"):
+                return self.hold(body)
+            return 404, {}
+
+    def start(self, body):
+        task, attempt = body["task"], body["attempt"]
+        answer = {"clockMs": self.clock()}
+        if task in self.runs and self.runs[task]["attempt"] == attempt:
+            return 200, answer
+        if body["deadlineMs"] <= self.clock():
+            return 409, dict(answer, reason="late")
+        if self.barred.get(task, 0) >= attempt:
+            return 409, dict(answer, reason="old")
+        self.lease = max(self.lease, body["deadlineMs"])
+        seconds = float(body["spec"].split()[0])
+        self.runs[task] = {"attempt": attempt, "ends": time.monotonic() + seconds, "stops": None}
+        used = sum(1 for _ in self.runs)
+        if used > self.capacity:
+            self.ledger.violate(f"LIMIT {used} of {self.capacity} tasks on {self.name}")
+        self.ledger.on_start(self.name, task, attempt)
+        return 200, answer
+
+    def stop(self, body):
+        task, attempt = body["task"], body["attempt"]
+        self.barred[task] = max(self.barred.get(task, 0), attempt)
+        if task in self.runs and self.runs[task]["attempt"] == attempt:
+            self.runs[task]["stops"] = self.runs[task]["stops"] or time.monotonic() + STOP_SECONDS
+        return 200, {"clockMs": self.clock()}
+
+    def hold(self, body):
+        cursor, token = body.get("ackCursor", 0), body.get("fencingToken", 0)
+        if "deadlineMs" in body:
+            self.lease = max(self.lease, min(body["deadlineMs"], self.clock() + LONGEST_LEASE_MS))
+        for row in self.ends:
+            if row[0] <= cursor and row[3] == "done":
+                self.ledger.on_noted(row[1])
+        self.ends = [row for row in self.ends if row[0] > cursor]
+        until, born = time.monotonic() + body.get("waitMs", 0) / 1000, self.born
+        while self.is_up and not self.ends and time.monotonic() < until and born == self.born:
+            self.lock.wait(until - time.monotonic())
+            if self.is_up:
+                self.advance()
+        if token < self.fence:
+            return 409, {"clockMs": self.clock(), "reason": "fence"}
+        running = [[task, run["attempt"], "", int(time.monotonic() * 10) % 100]
+                   for task, run in self.runs.items()]
+        return 200, {"clockMs": self.clock(), "born": self.born, "running": running,
+                     "finished": self.ends[:500]}
+
+    def heartbeat(self):
+        with self.lock:
+            self.sequence += 1
+            return {"service": "pool", "address": "%s:%d" % self.advertised, "zone": "z1",
+                    "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
+                    "capacity": {"cpu": self.capacity * 1000, "memoryRequestMb": 65536, "gpu": 0},
+                    "labels": ["a", "r1"], "clockMs": self.clock(), "sequence": self.sequence,
+                    "born": self.born}
+
+
+def configuration(version):
+    return {"version": version,
+            "routes": [{"name": "q", "host": "soak.example", "pathPrefix": "/q/", "timeoutMs": 3000,
+                        "targetLatencyMs": 1000, "priority": 1, "service": "pool",
+                        "maxAttempts": 4, "slackFactor": 3.0}],
+            "services": [{"name": "pool", "enforceCapacity": False}],
+            "tenants": [{"name": "team", "apiKeys": ["soak-key"], "weight": 1}]}
--- /dev/null
+++ b/soak/soak.py
@@ -0,0 +1,393 @@
+#!/usr/bin/env python3
+"""Runs the real programs as processes on loopback addresses under random faults and checks the promises.
+
+Usage: soak/soak.py --bin build/lovagebeam [--seed N] [--seconds S] [--hosts H] [--workers W] [--net N]
+Exits with 0 when nothing was violated. Ends only processes that it started, by their ids.
+"""
+
+import argparse
+import http.client
+import json
+import os
+import random
+import shutil
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+from fleet import Ledger, Worker, configuration
+from proxy import Proxy
+
+CONTROL, CALLERS, READY, INTERNAL = 8180, 8183, 8184, 7420
+SETTLE_SECONDS = 60
+LONGEST_PAUSE = 3.0
+
+
+class Host:
+    """One host: a core and an entry process with their settings and the core's data folder."""
+
+    def __init__(self, soak, number):
+        self.soak, self.number = soak, number
+        self.address = f"127.{soak.options.net}.1.{number}"
+        self.folder = os.path.join(soak.folder, f"host{number}")
+        self.processes = {}
+        self.lock = threading.Lock()
+        os.makedirs(self.folder)
+
+    def settings(self, role, first_start):
+        out = {"node_id": f"host{self.number}-{role}", "address": self.address,
+               "failure_domain": f"z{self.number}", "first_internal_port": INTERNAL,
+               "last_internal_port": INTERNAL + 15, "seeds": self.soak.seeds,
+               "first_start": first_start, "tolerated_losses": 1, "max_lease_ms": 6000,
+               "grace_ms": 6000, "log_level": "info"}
+        if role == "core":
+            out["data_folder"] = os.path.join(self.folder, "data")
+            out["control"] = f"{self.address}:{CONTROL}"
+        else:
+            out["callers"] = f"{self.address}:{CALLERS}"
+            out["readiness"] = f"{self.address}:{READY}"
+        return out
+
+    def start(self, role, first_start=False):
+        path = os.path.join(self.folder, f"{role}.json")
+        with open(path, "w") as file:
+            json.dump(self.settings(role, first_start), file)
+        with open(os.path.join(self.folder, f"{role}.log"), "ab") as log:
+            self.processes[role] = subprocess.Popen(
+                [self.soak.binary, role, "--settings", path], stdout=log, stderr=log)
+
+    def kill(self, role):
+        process = self.processes[role]
+        process.kill()
+        process.wait()
+
+    def stop(self, role):
+        process = self.processes[role]
+        process.terminate()
+        try:
+            process.wait(8)
+        except subprocess.TimeoutExpired:
+            self.soak.ledger.violate(f"STOP host{self.number} {role} took over 8 s")
+            process.kill()
+            process.wait()
+
+    def wipe(self):
+        shutil.rmtree(os.path.join(self.folder, "data"), ignore_errors=True)
+
+
+class Soak:
+    def __init__(self, options):
+        self.options = options
+        self.random = random.Random(options.seed)
+        self.binary = os.path.abspath(options.bin)
+        self.folder = tempfile.mkdtemp(prefix=f"soak-{options.seed}-")
+        self.ledger = Ledger()
+        self.is_over = False
+        self.core_lost = threading.Lock()  # at most one core process is lost at a time
+        self.accepted, self.refused, self.open_jobs = {}, {}, set()
+        self.answers = {}
+        self.lock = threading.Lock()
+        self.hosts = [Host(self, i + 1) for i in range(options.hosts)]
+        self.seeds = [f"{host.address}:{CONTROL}" for host in self.hosts[:3]]
+        self.workers, self.proxies = [], []
+        for i in range(options.workers):
+            inner, outer = (f"127.{options.net}.2.{i + 1}", 8080), (f"127.{options.net}.4.{i + 1}", 8080)
+            self.workers.append(Worker(f"w{i}", inner, outer, self.ledger, 8))
+            self.proxies.append(Proxy(outer, inner))
+
+    # Calls of the platform.
+
+    def call_control(self, method, path, body):
+        for host in self.random.sample(self.hosts, len(self.hosts)):
+            address = (host.address, CONTROL)
+            for _ in range(3):
+                status, location = self.call_once(address, method, path, body)
+                if status == 307 and location:
+                    host_port = location.split("//")[1].split("/")[0].split(":")
+                    address = (host_port[0], int(host_port[1]))
+                    continue
+                break
+            if 200 <= status < 300:
+                return True
+        return False
+
+    @staticmethod
+    def call_once(address, method, path, body):
+        connection = http.client.HTTPConnection(*address, timeout=1)
+        try:
+            connection.request(method, path, json.dumps(body), {"Content-Type": "application/json"})
+            response = connection.getresponse()
+            response.read()
+            return response.status, response.getheader("Location")
+        except (OSError, http.client.HTTPException):
+            return 0, None
+        finally:
+            connection.close()
+
+    def heartbeat_loop(self, worker):
+        while not self.is_over:
+            if worker.is_up:
+                self.call_control("PUT", f"/lovagebeam/instances/i-{worker.name}",
+                                  worker.heartbeat())
+            time.sleep(1.0)
+
+    def operator_loop(self):
+        version = 1
+        while not self.is_over:
+            if self.call_control("PUT", "/lovagebeam/config", configuration(version)):
+                version += self.random.randint(1, 3)
+                time.sleep(self.random.uniform(1, 4))
+            else:
+                time.sleep(0.3)
+
+    # Callers. Each keeps its connection until the other end closes it.
+
+    def caller_loop(self, number):
+        rng = random.Random(self.options.seed * 1000 + number)
+        connection, entry = None, None
+        while not self.is_over:
+            job = f"{rng.getrandbits(64):016x}"
+            tasks, seconds = rng.randint(1, 4), rng.uniform(0.05, 2.5)
+            body = json.dumps({"spec": f"{seconds:.2f} s", "phases": [
+                {"count": tasks, "cpu": 1000, "memoryRequestMb": 64,
+                 "estimatedMs": int(seconds * 1000), "gang": False}]})
+            self.ledger.known_jobs.add(job)
+            outcomes = []
+            for _ in range(5):
+                if connection is None:
+                    entry = rng.choice(self.hosts)
+                    connection = http.client.HTTPConnection(entry.address, CALLERS, timeout=3.5)
+                status = self.send(connection, "POST", job, body)
+                outcomes.append(status)
+                if status in (0, 502, 503, 504):
+                    connection.close()
+                    connection = None
+                    time.sleep(rng.uniform(0.1, 0.8))
+                    continue
+                break
+            with self.lock:
+                if outcomes[-1] == 200:
+                    self.accepted[job] = time.monotonic()
+                    self.open_jobs.add(job)
+                elif all(status in (429, 503) for status in outcomes):
+                    self.refused[job] = outcomes
+            if outcomes[-1] == 200 and rng.random() < 0.1 and connection is not None:
+                if self.send(connection, "DELETE", job, None) == 200:
+                    self.ledger.cancelled[job] = time.monotonic()
+            time.sleep(rng.uniform(0.05, 0.6))
+
+    def send(self, connection, method, job, body):
+        headers = {"Host": "soak.example", "Authorization": "Token soak-key",
+                   "X-Deadline-Ms": "3000", "Content-Type": "application/json"}
+        try:
+            connection.request(method, f"/q/{job}", body, headers)
+            response = connection.getresponse()
+            text = response.read()
+            if method == "GET" and response.status == 200:
+                self.answers[job] = json.loads(text)["state"]
+            return response.status
+        except (OSError, http.client.HTTPException, ValueError):
+            return 0
+
+    def state_of(self, job):
+        for host in self.random.sample(self.hosts, len(self.hosts)):
+            connection = http.client.HTTPConnection(host.address, CALLERS, timeout=3.5)
+            status = self.send(connection, "GET", job, None)
+            connection.close()
+            if status == 200:
+                return self.answers[job]
+            if status == 410:
+                return "unknown"
+        return "no answer"
+
+    # Faults. Each runs on a thread of its own, so that they overlap.
+
+    def fault_loop(self):
+        kinds = [self.kill_core, self.pause_core, self.stop_core, self.wipe_core, self.kill_entry,
+                 self.stop_entry, self.reload, self.crash_worker, self.cut_worker,
+                 self.disturb_connections]
+        end = time.monotonic() + self.options.seconds
+        while time.monotonic() < end:
+            kind = self.random.choice(kinds)
+            print(f"{time.strftime('%H:%M:%S')} fault {kind.__name__}", flush=True)
+            threading.Thread(target=kind, daemon=True).start()
+            time.sleep(self.random.uniform(0.3, 2.0))
+
+    def pick_host(self):
+        return self.random.choice(self.hosts)
+
+    def with_core(self, act):
+        if not self.core_lost.acquire(timeout=0.1):
+            return
+        try:
+            host = self.pick_host()
+            with host.lock:
+                act(host)
+            time.sleep(3)  # the time in which a lost host catches up
+        finally:
+            self.core_lost.release()
+
+    def kill_core(self):
+        def act(host):
+            host.kill("core")
+            time.sleep(self.random.uniform(0.1, 3))
+            host.start("core")
+        self.with_core(act)
+
+    def pause_core(self):
+        def act(host):
+            os.kill(host.processes["core"].pid, signal.SIGSTOP)
+            time.sleep(self.random.uniform(0.2, LONGEST_PAUSE))
+            os.kill(host.processes["core"].pid, signal.SIGCONT)
+        self.with_core(act)
+
+    def stop_core(self):
+        def act(host):
+            host.stop("core")
+            host.start("core")
+        self.with_core(act)
+
+    def wipe_core(self):
+        def act(host):
+            host.kill("core")
+            host.wipe()
+            host.start("core")
+            time.sleep(5)
+        self.with_core(act)
+
+    def kill_entry(self):
+        host = self.pick_host()
+        with host.lock:
+            host.kill("entry")
+            time.sleep(self.random.uniform(0.1, 1))
+            host.start("entry")
+
+    def stop_entry(self):
+        host = self.pick_host()
+        with host.lock:
+            host.stop("entry")
+            host.start("entry")
+
+    def reload(self):
+        host = self.pick_host()
+        with host.lock:
+            for process in host.processes.values():
+                process.send_signal(signal.SIGHUP)
+
+    def crash_worker(self):
+        worker = self.random.choice(self.workers)
+        worker.crash()
+        time.sleep(self.random.uniform(0.1, 3))
+        worker.restart()
+
+    def cut_worker(self):
+        proxy = self.random.choice(self.proxies)
+        way = self.random.choice(["forward", "back", "both"])
+        proxy.cut_forward, proxy.cut_back = way != "back", way != "forward"
+        time.sleep(self.random.uniform(0.5, 8))
+        proxy.calm()
+
+    def disturb_connections(self):
+        proxy = self.random.choice(self.proxies)
+        how = self.random.choice(["delay", "reset", "silence"])
+        if how == "delay":
+            proxy.delay = 0.3
+            time.sleep(self.random.uniform(1, 4))
+            proxy.delay = 0.0
+        elif how == "reset":
+            proxy.reset_all()
+        else:
+            proxy.silence_all()
+
+    # The run.
+
+    def run(self):
+        for host in self.hosts:
+            host.start("entry", True)
+            host.start("core", True)
+        for worker in self.workers:
+            worker.start_serving()
+        loops = [threading.Thread(target=self.operator_loop, daemon=True)]
+        loops += [threading.Thread(target=self.heartbeat_loop, args=(worker,), daemon=True)
+                  for worker in self.workers]
+        for loop in loops:
+            loop.start()
+        time.sleep(4)
+        callers = [threading.Thread(target=self.caller_loop, args=(i,), daemon=True)
+                   for i in range(self.options.callers)]
+        for caller in callers:
+            caller.start()
+        self.fault_loop()
+        time.sleep(10)  # faults that are under way end
+        for proxy in self.proxies:
+            proxy.calm()
+        self.check_end()
+
+    def check_end(self):
+        deadline = time.monotonic() + SETTLE_SECONDS
+        with self.lock:
+            waiting = set(self.open_jobs)
+        states = {}
+        while waiting and time.monotonic() < deadline:
+            for job in list(waiting):
+                states[job] = self.state_of(job)
+                if states[job] in ("completed", "failed", "cancelled"):
+                    waiting.discard(job)
+            time.sleep(0.2)
+        self.is_over = True
+        for job in waiting:
+            self.ledger.violate(f"LOST {job} is {states.get(job)}")
+        for job, state in states.items():
+            if state == "cancelled" and job not in self.ledger.cancelled:
+                # A cancel whose answer was lost may have been carried out.
+                continue
+            if state == "failed":
+                self.ledger.violate(f"LOST {job} is shown as failed, and nothing fails here")
+        started = {task.split(".")[0] for task in self.ledger.running}
+        for job in self.refused:
+            if job in started:
+                self.ledger.violate(f"REFUSED {job} was refused each time and runs")
+
+    def close(self):
+        self.is_over = True
+        for host in self.hosts:
+            for process in host.processes.values():
+                if process.poll() is None:
+                    process.send_signal(signal.SIGCONT)
+                    process.kill()
+                    process.wait()
+
+
+def main():
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--bin", default="build/lovagebeam")
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--seconds", type=float, default=20)
+    parser.add_argument("--hosts", type=int, default=4)
+    parser.add_argument("--workers", type=int, default=8)
+    parser.add_argument("--callers", type=int, default=6)
+    parser.add_argument("--net", type=int, default=9,
+                        help="second number of the loopback addresses; runs side by side differ")
+    options = parser.parse_args()
+    soak = Soak(options)
+    try:
+        soak.run()
+    finally:
+        soak.close()
+    ledger = soak.ledger
+    print(f"seed={options.seed} accepted={len(soak.accepted)} refused={len(soak.refused)} "
+          f"starts={ledger.starts} violations={len(ledger.violations)}")
+    for violation in ledger.violations[:20]:
+        print(violation)
+    if ledger.violations or not soak.accepted:
+        print(f"logs: {soak.folder}")
+        return 1
+    shutil.rmtree(soak.folder, ignore_errors=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
