--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -43,8 +43,9 @@
                        std::vector<std::string> founders, consensus::member identity,
                        daemon::replication& log, daemon::peer_links& links,
                        targets::http_client& client, daemon::decision_loop& loop)
-    : m_settings{settings}, m_founders{std::move(founders)}, m_identity{std::move(identity)}, m_log{log}, m_links{links},
-      m_client{client}, m_loop{loop}, m_planner{repair_settings_for(settings)}
+    : m_settings{settings}, m_founders{std::move(founders)}, m_identity{std::move(identity)},
+      m_log{log}, m_links{links}, m_client{client}, m_loop{loop}, m_planner{
+                                                                      repair_settings_for(settings)}
 {
     for (const auto& seed : settings.seeds) {
         m_seeds.insert(seed.address);
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -24,9 +24,8 @@
 public:
     /// `founders` are the first voters, if this process was among them.
     core_group(const settings::process_settings& settings, std::vector<std::string> founders,
-               consensus::member identity,
-               daemon::replication& log, daemon::peer_links& links, targets::http_client& client,
-               daemon::decision_loop& loop);
+               consensus::member identity, daemon::replication& log, daemon::peer_links& links,
+               targets::http_client& client, daemon::decision_loop& loop);
 
     void tick(base::time_point now);
     proto::controlplane::CoreHelloAnswer on_hello(base::time_point now,
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -84,7 +84,8 @@
       m_log{{log_settings.node, std::move(log.replica), std::move(log.state),
              std::move(log.snapshot), std::move(log.snapshot_bytes), &m_links, m_writer.get(),
              this}},
-      m_group{m_settings, founders_of(log_settings), log.identity, m_log, m_links, m_client, m_loop},
+      m_group{m_settings, founders_of(log_settings), log.identity, m_log, m_links, m_client,
+              m_loop},
       m_worker_port{*given.workers, m_links, m_loop},
       m_callers{{&m_codec, [this]() -> const jobs::ledger& { return records(); },
                  [this](base::time_point now, proto::jobs::Operation operation, commit_done done) {
--- a/src/controlplane/founding.cpp
+++ b/src/controlplane/founding.cpp
@@ -45,8 +45,9 @@
         auto server =
             callers::http_server_builder{}
                 .listen(m_settings.address, core_port(m_settings))
-                .handler([this](const callers::http_request& request,
-                                const callers::reply& reply) { on_hello(request, reply); })
+                .handler([this](const callers::http_request& request, const callers::reply& reply) {
+                    on_hello(request, reply);
+                })
                 .build();
         if (!server.ok()) {
             return server.status();
@@ -71,8 +72,8 @@
         const auto begin = std::chrono::steady_clock::now();
         std::unique_lock lock{m_mutex};
         while (m_founders.empty()) {
-            const auto waited = std::chrono::duration_cast<milliseconds>(
-                std::chrono::steady_clock::now() - begin);
+            const auto waited =
+                std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - begin);
             if (waited >= give_up_time) {
                 return false;
             }
@@ -152,9 +153,10 @@
 
 } // namespace
 
-std::optional<std::vector<std::string>>
-choose_founders(const std::vector<std::string>& seeds, const std::map<std::string, bool>& durable,
-                const std::string& self, milliseconds waited)
+std::optional<std::vector<std::string>> choose_founders(const std::vector<std::string>& seeds,
+                                                        const std::map<std::string, bool>& durable,
+                                                        const std::string& self,
+                                                        milliseconds waited)
 {
     std::set<std::string> founders;
     for (const auto& seed : seeds) {
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -26,7 +26,10 @@
 /// Calls about itself that a leader leaves unanswered one after the other before another process
 /// is asked. One alone may be late because the leader is busy.
 constexpr std::uint32_t unanswered_syncs = 2;
-constexpr unsigned status_unavailable = 503;
+/// Others may still name a process that denied leading; it isn't believed for about the time of an
+/// election.
+constexpr std::chrono::milliseconds denial_time{300};
+constexpr unsigned status_bad_request = 400;
 /// An election takes less; a longer wait for a leader only delays the caller's next attempt.
 constexpr std::chrono::milliseconds leaderless_patience{900};
 /// The final answer has to reach the caller before its deadline.
@@ -100,7 +103,9 @@
         set_leader(now, asked, "confirmed");
     }
     else if (asked == m_leader || m_leader.empty()) {
-        set_leader(now, answer->leader() == asked ? std::string{} : answer->leader(), "told");
+        const bool is_denied = answer->leader() == m_denied_by && now < m_denied_until;
+        const bool is_usable = answer->leader() != asked && !is_denied;
+        set_leader(now, is_usable ? answer->leader() : std::string{}, "told");
     }
 }
 
@@ -160,11 +165,12 @@
                             std::optional<pb::CallerAnswer> answer, bool maybe_sent)
 {
     if (answer && !answer->not_leader() && !answer->in_doubt()) {
-        // An earlier attempt may have been accepted, so a refusal of this one isn't the whole
-        // truth.
-        const bool is_refusal = answer->status() == status_unavailable;
-        if (call->maybe_run && is_refusal) {
-            wait(call);
+        // An earlier attempt may have been accepted before the key or queue went, so a refusal of
+        // this one isn't the whole truth.
+        const bool may_be_false = call->maybe_run && call->call.method() == "POST" &&
+                                  answer->status() > status_bad_request;
+        if (may_be_false) {
+            give_up(call);
         }
         else {
             call->finished({outcome::kind::answered, *std::move(answer)});
@@ -176,6 +182,10 @@
     if (asked == m_leader && (is_unreached || (answer && answer->not_leader()))) {
         const std::string other =
             answer && answer->leader() != asked ? answer->leader() : std::string{};
+        if (answer) {
+            m_denied_by = asked;
+            m_denied_until = now + denial_time;
+        }
         set_leader(now, other, answer ? "doesn't lead" : "no answer");
     }
     wait(call);
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -74,6 +74,8 @@
     std::set<std::string> m_cores;
     std::string m_leader;
     base::time_point m_confirmed;
+    std::string m_denied_by; ///< the process that last said that it doesn't lead
+    base::time_point m_denied_until;
     base::time_point m_next_sync;
     std::uint64_t m_next_core = 0;
     std::uint32_t m_syncs = 0;      ///< under way
--- a/src/operators/log_explanation.cpp
+++ b/src/operators/log_explanation.cpp
@@ -79,12 +79,11 @@
     std::int64_t low = std::numeric_limits<std::int64_t>::min();
     std::int64_t high = std::numeric_limits<std::int64_t>::max();
 
-    [[nodiscard]] std::int64_t middle() const
+    /// None where none is needed, since clocks are mostly close.
+    [[nodiscard]] std::int64_t correction() const
     {
-        if (low == std::numeric_limits<std::int64_t>::min()) {
-            return 0;
-        }
-        return low + (high - low) / 2;
+        const bool is_close = low <= 0 && high >= 0;
+        return is_close || low > high ? 0 : low + (high - low) / 2;
     }
 };
 
@@ -162,7 +161,7 @@
         const auto offset = offsets.find(std::string{line.field("node")});
         // The leader's own lines are the reference, also on a host that runs an entry process.
         if (offset != offsets.end() && line.field("event").starts_with("request_")) {
-            out.back().time_us -= offset->second.middle();
+            out.back().time_us -= offset->second.correction();
         }
     }
     std::ranges::stable_sort(out, {}, &log_line::time_us);
