--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -101,7 +101,7 @@
     if (m_log.is_leader()) {
         return m_log.is_established_leader(now) ? m_settings.address : std::string{};
     }
-    const auto known = m_log.replica().leader().str();
+    auto known = m_log.replica().leader().str();
     if (!known.empty()) {
         return known;
     }
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -16,7 +16,6 @@
 namespace pb = proto::controlplane;
 
 using base::error_code;
-using base::make_error;
 using telemetry::log_event;
 using telemetry::severity;
 
@@ -285,8 +284,8 @@
 void core_parts::carry_out(base::time_point now)
 {
     auto out = m_coordinator->take(now, wall_now());
-    for (auto& [id, batch] : out.batches) {
-        commit_batch(now, id, std::move(batch));
+    for (const auto& [id, batch] : out.batches) {
+        commit_batch(now, id, batch);
     }
     for (const auto& order : out.starts) {
         send(now, order);
@@ -382,7 +381,8 @@
         });
 }
 
-void core_parts::commit_batch(base::time_point now, std::uint64_t id, proto::jobs::Batch batch)
+void core_parts::commit_batch(base::time_point now, std::uint64_t id,
+                              const proto::jobs::Batch& batch)
 {
     state::command command;
     command.set_job_batch(batch.SerializeAsString());
@@ -480,7 +480,12 @@
     }
     const auto waited = std::chrono::steady_clock::now() - request.received_at;
     m_callers.handle(now, waited, m_catalog.get(), call,
-                     [reply](const pb::CallerAnswer& answer) { reply(message_response(answer)); });
+                     [this, reply](const pb::CallerAnswer& answer) {
+                         if (answer.status() >= first_error_status) {
+                             m_core_metrics.on_refusal(answer.status());
+                         }
+                         reply(message_response(answer));
+                     });
 }
 
 void core_parts::serve_sync(base::time_point now, const std::string& body,
--- a/src/controlplane/core_parts.h
+++ b/src/controlplane/core_parts.h
@@ -77,7 +77,7 @@
     void send(base::time_point now, const jobs::stop_order& order);
     void send(base::time_point now, const jobs::hold_order& order);
     void send(const jobs::advice_order& order);
-    void commit_batch(base::time_point now, std::uint64_t id, proto::jobs::Batch batch);
+    void commit_batch(base::time_point now, std::uint64_t id, const proto::jobs::Batch& batch);
     /// Runs `work` on the decisions thread if the coordinator is still the present one.
     void post_to_coordinator(std::uint64_t generation,
                              std::function<void(base::time_point, jobs::coordinator&)> work);
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -11,7 +11,7 @@
 namespace {
 
 /// A note is kept short: it becomes one log line.
-decision_note note(std::string_view event, const run_key& run, std::string detail)
+decision_note note(std::string_view event, const run_key& run, const std::string& detail)
 {
     return {event, run.task.job, absl::StrCat("run=", text_of(run), " ", detail)};
 }
--- a/tests/controlplane/founding_test.cpp
+++ b/tests/controlplane/founding_test.cpp
@@ -25,8 +25,8 @@
     // Guards against a first group with a voter that can't keep its vote.
     void choose_seeds_with_disks_are_founders()
     {
-        const auto found =
-            choose_founders(m_seeds, {{"a", true}, {"b", false}, {"c", true}, {"d", true}}, "c", 0s);
+        const auto found = choose_founders(
+            m_seeds, {{"a", true}, {"b", false}, {"c", true}, {"d", true}}, "c", 0s);
         CPPUNIT_ASSERT(hosts({"a", "c"}) == found);
     }
 
--- a/tests/controlplane/leader_link_test.cpp
+++ b/tests/controlplane/leader_link_test.cpp
@@ -1,9 +1,8 @@
-#include "leader_link.h"
-
 #include "lovagebeam/base/clock.h"
 #include "lovagebeam/callers/http_server.h"
 
 #include "internal_calls.h"
+#include "leader_link.h"
 #include "support/net.h"
 
 #include <cppunit/extensions/HelperMacros.h>
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -165,7 +165,7 @@
     at(now + std::chrono::milliseconds{random.between(300, 1'200)}, [this] { lead(); });
 }
 
-void sim_cell::submit(job_spec spec)
+void sim_cell::submit(const job_spec& spec)
 {
     if (leader) {
         leader->on_submission(now, spec);
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -85,7 +85,7 @@
     void add_worker(const std::string& id);
     /// The worker's process ends and starts again a little later, under the same id or a new one.
     void restart_worker(const base::worker_id& id, bool same_id);
-    void submit(job_spec spec);
+    void submit(const job_spec& spec);
     void cancel(job_number id);
     /// Another leader takes over; what the former one has proposed may or may not be committed.
     void change_leader();
