--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -82,6 +82,7 @@
             self.clock_base = now_ms()
             self.fence, self.lease, self.sequence, self.last_end = 0, 0, 0, 0
             self.runs, self.ends, self.barred = {}, [], {}
+            self.ended_at, self.lapsed_at = {}, 0.0
 
     def clock(self):
         return now_ms() - self.clock_base
@@ -147,6 +148,7 @@
         self.last_end += 1
         self.barred[task] = max(self.barred.get(task, 0), run["attempt"])
         self.ends.append([self.last_end, task, run["attempt"], how, ""])
+        self.ended_at[self.last_end] = time.monotonic()
         self.ledger.on_end(self.name, task)
         self.lock.notify_all()
 
@@ -193,10 +195,13 @@
 
     def hold(self, body):
         cursor, token = body.get("ackCursor", 0), body.get("fencingToken", 0)
+        if self.clock() >= self.lease:
+            self.lapsed_at = time.monotonic()
         if "deadlineMs" in body:
             self.lease = max(self.lease, min(body["deadlineMs"], self.clock() + LONGEST_LEASE_MS))
         for row in self.ends:
-            if row[0] <= cursor and row[3] == "done":
+            # An end that the scheduler learns of after the lease has run out doesn't bind it.
+            if row[0] <= cursor and row[3] == "done" and self.ended_at[row[0]] > self.lapsed_at:
                 self.ledger.on_noted(row[1])
         self.ends = [row for row in self.ends if row[0] > cursor]
         until, born = time.monotonic() + body.get("waitMs", 0) / 1000, self.born
