--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -37,6 +37,10 @@
     milliseconds ask_interval{200};
     /// Planning passes are at least this far apart, so that what comes meanwhile shares one.
     milliseconds plan_interval{4};
+    /// With a backlog passes cost more, so each waiting step adds this to the distance, up to a
+    /// bound.
+    std::chrono::microseconds plan_interval_per_step{60};
+    milliseconds plan_interval_max{40};
     /// Jobs that have ended are kept this long.
     milliseconds retention{150'000};
     milliseconds forget_interval{5'000};
@@ -165,6 +169,7 @@
 
     // Planning.
     void plan(base::time_point now);
+    [[nodiscard]] base::duration distance_of_passes() const;
     void list_candidates(base::time_point now);
     /// Whether one task of the step fits on some candidate at all.
     [[nodiscard]] bool may_fit(const planned_step& step) const;
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -410,12 +410,21 @@
     }
 }
 
+base::duration coordinator::distance_of_passes() const
+{
+    const auto& settings = m_settings.planner;
+    const base::duration wanted =
+        settings.plan_interval +
+        settings.plan_interval_per_step * static_cast<std::int64_t>(m_ready.size());
+    return std::min<base::duration>(wanted, settings.plan_interval_max);
+}
+
 coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
 {
     collect_worker_output();
     if (m_is_dirty && now >= m_next_plan) {
         m_is_dirty = false;
-        m_next_plan = now + m_settings.planner.plan_interval;
+        m_next_plan = now + distance_of_passes();
         plan(now);
     }
     m_out.advice = m_advice.take(now);
