--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -53,11 +53,11 @@
     m_durable[settings.address] = !settings.data_folder.empty();
 }
 
-std::vector<std::string> core_group::present_cores(base::time_point now) const
+std::vector<std::string> core_group::relays(base::time_point now) const
 {
     std::vector<std::string> out;
     for (const auto& [id, core] : m_heard) {
-        if (now - core.heard < presence_time && id != m_identity.id) {
+        if (core.is_durable && now - core.heard < presence_time && id != m_identity.id) {
             out.push_back(id.str());
         }
     }
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -33,8 +33,9 @@
 
     /// Addresses of the core processes that this one knows.
     [[nodiscard]] std::vector<std::string> cores() const;
-    /// Addresses of the other core processes that are there, with a disk or without.
-    [[nodiscard]] std::vector<std::string> present_cores(base::time_point now) const;
+    /// Addresses of the other core processes that may call workers for the leader: those with a
+    /// disk, whose hosts are as large as the leader's.
+    [[nodiscard]] std::vector<std::string> relays(base::time_point now) const;
     /// Address of the leader as far as known; empty otherwise.
     [[nodiscard]] std::string leader(base::time_point now) const;
 
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -236,7 +236,7 @@
 
 void core_parts::update_relays()
 {
-    m_worker_port.set_cores(m_group.present_cores(base::boot_time()));
+    m_worker_port.set_cores(m_group.relays(base::boot_time()));
     m_worker_port.set_worker_count(records().workers().size());
 }
 
