--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -35,7 +35,6 @@
 constexpr std::chrono::milliseconds agent_time{300};
 /// Orders and outcomes of this time travel in one message.
 constexpr std::chrono::milliseconds relay_interval{3};
-constexpr unsigned first_error_status = 400;
 constexpr std::chrono::seconds metrics_interval{1};
 constexpr std::size_t internal_body_bytes = std::size_t{2} << 20U;
 
@@ -45,14 +44,6 @@
         std::chrono::system_clock::now());
 }
 
-callers::http_response message_response(const google::protobuf::MessageLite& message)
-{
-    callers::http_response response;
-    response.content_type = "application/octet-stream";
-    response.body = message.SerializeAsString();
-    return response;
-}
-
 std::vector<std::string> founders_of(const settings::daemon_settings& settings)
 {
     std::vector<std::string> out;
@@ -436,89 +427,4 @@
     commit(now, std::move(batch), std::move(done));
 }
 
-void core_parts::on_request(callers::http_request request, const callers::reply& reply)
-{
-    auto shared = std::make_shared<callers::http_request>(std::move(request));
-    if (!m_loop.try_post(
-            [this, shared, reply](base::time_point now) { serve(now, *shared, reply); })) {
-        reply(callers::error_response(503, error_code::queue_full, "too many calls wait"));
-    }
-}
-
-void core_parts::serve(base::time_point now, const callers::http_request& request,
-                       const callers::reply& reply)
-{
-    const auto path = request.path();
-    if (path == caller_path) {
-        serve_caller(now, request, reply);
-    }
-    else if (path == sync_path) {
-        serve_sync(now, request.body, reply);
-    }
-    else if (path == hello_path) {
-        serve_hello(now, request.body, reply);
-    }
-    else {
-        reply(callers::error_response(404, error_code::not_found, "no such call"));
-    }
-}
-
-void core_parts::serve_caller(base::time_point now, const callers::http_request& request,
-                              const callers::reply& reply)
-{
-    pb::CallerCall call;
-    if (!call.ParseFromString(request.body)) {
-        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
-        return;
-    }
-    if (!m_coordinator || !m_log.is_established_leader(now)) {
-        pb::CallerAnswer answer;
-        answer.set_not_leader(true);
-        answer.set_leader(m_group.leader(now));
-        reply(message_response(answer));
-        return;
-    }
-    const auto waited = std::chrono::steady_clock::now() - request.received_at;
-    m_callers.handle(now, waited, m_catalog.get(), call,
-                     [this, reply](const pb::CallerAnswer& answer) {
-                         if (answer.status() >= first_error_status) {
-                             m_core_metrics.on_refusal(answer.status());
-                         }
-                         reply(message_response(answer));
-                     });
-}
-
-void core_parts::serve_sync(base::time_point now, const std::string& body,
-                            const callers::reply& reply)
-{
-    pb::SyncRequest request;
-    if (!request.ParseFromString(body)) {
-        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
-        return;
-    }
-    pb::SyncAnswer answer;
-    const bool is_leader = m_coordinator && m_log.is_established_leader(now);
-    answer.set_is_leader(is_leader);
-    answer.set_leader(m_group.leader(now));
-    for (const auto& core : m_group.cores()) {
-        answer.add_cores(core);
-    }
-    answer.set_catalog_version(records().catalog_version());
-    if (is_leader) {
-        m_coordinator->on_agent(now, base::node_id{request.entry()});
-    }
-    reply(message_response(answer));
-}
-
-void core_parts::serve_hello(base::time_point now, const std::string& body,
-                             const callers::reply& reply)
-{
-    pb::CoreHello hello;
-    if (!hello.ParseFromString(body)) {
-        reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
-        return;
-    }
-    reply(message_response(m_group.on_hello(now, hello)));
-}
-
 } // namespace lovagebeam::controlplane
--- a/src/jobs/model.cpp
+++ b/src/jobs/model.cpp
@@ -1,5 +1,7 @@
 #include "lovagebeam/jobs/model.h"
 
+#include "name_table.h"
+
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
@@ -8,12 +10,6 @@
 namespace lovagebeam::jobs {
 namespace {
 
-template <class Enum>
-struct named {
-    Enum value;
-    std::string_view name;
-};
-
 constexpr std::array job_states{
     named<job_state>{job_state::queued, "queued"},
     named<job_state>{job_state::running, "running"},
@@ -69,12 +65,12 @@
 
 std::string_view name_of(job_state state)
 {
-    return std::ranges::find(job_states, state, &named<job_state>::value)->name;
+    return name_in(job_states, state);
 }
 
 std::string_view name_of(end_kind kind)
 {
-    return std::ranges::find(end_kinds, kind, &named<end_kind>::value)->name;
+    return name_in(end_kinds, kind);
 }
 
 std::optional<end_kind> end_kind_from_name(std::string_view name)
--- a/src/jobs/orders.cpp
+++ b/src/jobs/orders.cpp
@@ -1,17 +1,13 @@
 #include "lovagebeam/jobs/orders.h"
 
+#include "name_table.h"
+
 #include <algorithm>
 #include <array>
 
 namespace lovagebeam::jobs {
 namespace {
 
-template <class Enum>
-struct named {
-    Enum value;
-    std::string_view name;
-};
-
 constexpr std::array start_outcomes{
     named<start_outcome>{start_outcome::started, "started"},
     named<start_outcome>{start_outcome::no_room, "no_room"},
@@ -35,12 +31,12 @@
 
 std::string_view name_of(start_outcome outcome)
 {
-    return std::ranges::find(start_outcomes, outcome, &named<start_outcome>::value)->name;
+    return name_in(start_outcomes, outcome);
 }
 
 std::string_view name_of(hold_outcome outcome)
 {
-    return std::ranges::find(hold_outcomes, outcome, &named<hold_outcome>::value)->name;
+    return name_in(hold_outcomes, outcome);
 }
 
 } // namespace lovagebeam::jobs
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -1,6 +1,6 @@
 #include "lovagebeam/jobs/coordinator.h"
 
-#include "text.h"
+#include "labels.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -15,11 +15,6 @@
 /// Workers that an objective's allowance for advice counts in each call.
 constexpr std::int64_t advised_workers_in_objective = 30;
 
-bool has_label(const worker_info& worker, const std::string& label)
-{
-    return label.empty() || std::ranges::find(worker.labels, label) != worker.labels.end();
-}
-
 milliseconds advice_time(const advice_policy* policy)
 {
     return policy == nullptr
@@ -404,95 +399,4 @@
     m_planned.erase(found);
 }
 
-void coordinator::reserve(base::time_point now, const planned_step& step,
-                          const std::vector<assignment>& chosen)
-{
-    const auto booked = booked_size(step.spec);
-    reservation made;
-    made.until = now + m_settings.planner.reservation;
-    for (const auto& one : chosen) {
-        made.sizes.emplace_back(one.worker->info->id, booked);
-        m_planned_on[one.worker->info->id] += booked;
-        one.worker->free -= booked;
-        m_pool_free[step.pool] -= booked;
-    }
-    m_reserved.emplace(step.key, std::move(made));
-}
-
-void coordinator::release_reservation(const step_key& key)
-{
-    const auto found = m_reserved.find(key);
-    if (found == m_reserved.end()) {
-        return;
-    }
-    for (const auto& [worker, booked] : found->second.sizes) {
-        m_planned_on[worker] -= booked;
-        const auto candidate = std::ranges::find(m_candidates, worker,
-                                                 [](const auto& entry) { return entry.info->id; });
-        if (candidate != m_candidates.end()) {
-            candidate->free += booked;
-            m_pool_free[candidate->info->pool] += booked;
-        }
-    }
-    m_reserved.erase(found);
-}
-
-// Asks for tickets where the step would fit; where it fits nowhere that is known, asks about the
-// workers that no call has named yet.
-void coordinator::ask_advice(base::time_point now, const planned_step& step, ready_step& ready)
-{
-    const auto* const known = m_advice.find(step.key);
-    if (known != nullptr && known->is_asking) {
-        const auto wanted = assign(now, step, ticket_rule::any);
-        if (!wanted.empty()) {
-            reserve(now, step, wanted);
-        }
-        return;
-    }
-    const auto& policy = *advice_for(step.job.spec);
-    const auto wanted = assign(now, step, ticket_rule::any);
-    if (wanted.empty()) {
-        if (now < ready.ask_not_before) {
-            return;
-        }
-        ready.ask_not_before = now + m_settings.planner.ask_interval;
-        ask_about(now, step.key, step.job.spec, step.pool, policy, ready.due_by);
-        return;
-    }
-    std::set<base::worker_id> renewed;
-    for (const auto& one : wanted) {
-        renewed.insert(one.worker->info->id);
-    }
-    m_advice.ask(step.key, policy, {renewed.begin(), renewed.end()},
-                 {step.job.spec.priority, ready.due_by.time_since_epoch().count()});
-    reserve(now, step, wanted);
-}
-
-void coordinator::ask_about(base::time_point, const step_key& key, const job_spec& job,
-                            const std::string& pool, const advice_policy& policy,
-                            base::wall_time due_by)
-{
-    const auto* const known = m_advice.find(key);
-    const auto& step = job.steps[key.step];
-    std::vector<const candidate_worker*> unknown;
-    for (const auto& candidate : m_candidates) {
-        const auto& info = *candidate.info;
-        if (info.pool == pool && has_label(info, step.required_label) &&
-            step.size.fits_in(info.capacity) &&
-            (known == nullptr ||
-             (!known->allowed.contains(info.id) && !known->refused.contains(info.id)))) {
-            unknown.push_back(&candidate);
-        }
-    }
-    std::ranges::stable_sort(unknown, std::greater{},
-                             [](const candidate_worker* one) { return one->free.millicores; });
-    std::vector<base::worker_id> workers;
-    workers.reserve(unknown.size());
-    for (const auto* one : unknown) {
-        workers.push_back(one->info->id);
-    }
-    m_advice.ask(key, policy, std::move(workers),
-                 {job.priority, due_by.time_since_epoch().count()});
-}
-
 } // namespace lovagebeam::jobs
--- a/src/settings/daemon_settings.cpp
+++ b/src/settings/daemon_settings.cpp
@@ -151,17 +151,11 @@
 parse_result parse_daemon_settings(std::string_view text)
 {
     parse_result result;
-    boost::system::error_code error;
-    const auto document = boost::json::parse({text.data(), text.size()}, error);
-    if (error) {
-        result.problems.push_back({"", "isn't valid JSON: " + error.message()});
-        return result;
-    }
-    if (!document.is_object()) {
-        result.problems.push_back({"", "must be an object"});
+    const auto document = parse_document(text, result.problems);
+    if (!document) {
         return result;
     }
-    daemon_settings settings = read_settings(document.get_object(), result.problems);
+    daemon_settings settings = read_settings(*document, result.problems);
     if (result.problems.empty()) {
         check_members_differ(settings, result.problems);
         check_own_entry(settings, result.problems);
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -133,17 +133,11 @@
 process_parse_result parse_process_settings(std::string_view text)
 {
     process_parse_result result;
-    boost::system::error_code error;
-    const auto document = boost::json::parse({text.data(), text.size()}, error);
-    if (error) {
-        result.problems.push_back({"", "isn't valid JSON: " + error.message()});
-        return result;
-    }
-    if (!document.is_object()) {
-        result.problems.push_back({"", "must be an object"});
+    const auto document = parse_document(text, result.problems);
+    if (!document) {
         return result;
     }
-    auto settings = read_settings(document.get_object(), result.problems);
+    auto settings = read_settings(*document, result.problems);
     if (result.problems.empty()) {
         result.settings = std::move(settings);
     }
--- /dev/null
+++ b/tests/jobs/sim_workers.cpp
@@ -0,0 +1,270 @@
+#include "sim_cell.h"
+#include "text.h"
+
+#include <absl/strings/str_cat.h>
+
+#include <algorithm>
+#include <string>
+#include <utility>
+#include <vector>
+
+// What the simulated workers do with orders, and the checks after each start.
+
+namespace lovagebeam::jobs::test {
+namespace {
+
+constexpr auto gang_time = 3s;
+
+} // namespace
+
+hold_outcome sim_cell::carry_out(sim_worker& worker, const hold_order& order, hold_answer& out)
+{
+    if (order.token.value() < worker.fence) {
+        return hold_outcome::fenced;
+    }
+    worker.fence = order.token.value();
+    if (worker.clock(now) >= worker.lease) {
+        worker.last_lapse = now;
+    }
+    if (order.deadline) {
+        worker.lease = std::max(worker.lease,
+                                std::min(*order.deadline, worker.clock(now) + worker_time{6'000}));
+    }
+    for (const auto& end : worker.ends) {
+        if (end.row.number <= order.cursor) {
+            note(worker, end);
+        }
+    }
+    std::erase_if(worker.ends, [&](const sim_worker::listed_end& end) {
+        return end.row.number <= order.cursor;
+    });
+    out.clock = worker.clock(now);
+    out.born = worker.info.born;
+    for (const auto& [run, state] : worker.runs) {
+        out.running.push_back({run, "", state.percent(now), std::nullopt});
+    }
+    for (const auto& end : worker.ends) {
+        out.finished.push_back(end.row);
+    }
+    return hold_outcome::answered;
+}
+
+start_outcome sim_cell::carry_out(sim_worker& worker, const start_order& order)
+{
+    advance(worker);
+    if (order.to.born != worker.info.born && order.token.value() < worker.fence) {
+        return start_outcome::fenced;
+    }
+    if (order.token.value() < worker.fence) {
+        return start_outcome::fenced;
+    }
+    worker.fence = order.token.value();
+    if (worker.runs.contains(order.run)) {
+        return start_outcome::started;
+    }
+    if (order.deadline <= worker.clock(now)) {
+        return start_outcome::too_late;
+    }
+    if (worker.clock(now) >= worker.lease) {
+        worker.last_lapse = now;
+    }
+    worker.lease = std::max(worker.lease, order.deadline);
+    const auto barred = worker.barred.find(order.run.task);
+    if (barred != worker.barred.end() && barred->second >= order.run.attempt) {
+        return start_outcome::superseded;
+    }
+    check_start(worker, order.run);
+    ++starts;
+    const auto& step = records.find(order.run.task.job)->spec.steps[order.run.task.step];
+    sim_worker::run run;
+    run.began = now;
+    const auto work = step.estimate * random.between(5, 20) / 10;
+    run.ends = now + work;
+    run.hangs = worker.hangs;
+    run.waits = step.gang;
+    if (worker.fails_all) {
+        run.ends = now + 20ms;
+        run.how = end_kind::failed;
+    }
+    else if (random.chance(settings.fail_run)) {
+        run.how = end_kind::failed;
+    }
+    worker.runs.emplace(order.run, run);
+    if (step.gang) {
+        check_gang(order.run);
+    }
+    return start_outcome::started;
+}
+
+// Once every member of a gang's attempt is there, all begin to work and end at one time.
+void sim_cell::check_gang(const run_key& run)
+{
+    const auto& step = records.find(run.task.job)->spec.steps[run.task.step];
+    std::vector<sim_worker::run*> members;
+    for (auto& [id, worker] : workers) {
+        for (auto& [key, state] : worker.runs) {
+            if (step_of(key.task) == step_of(run.task) && key.attempt == run.attempt &&
+                worker.is_up) {
+                members.push_back(&state);
+            }
+        }
+    }
+    if (members.size() < step.tasks) {
+        return;
+    }
+    const auto ends = now + step.estimate;
+    for (auto* member : members) {
+        member->waits = false;
+        member->ends = ends;
+    }
+}
+
+void sim_cell::end(sim_worker& worker, const run_key& run, end_kind how)
+{
+    worker.runs.erase(run);
+    auto& barred = worker.barred[run.task];
+    barred = std::max(barred, run.attempt);
+    worker.ends.push_back({{++worker.last_end, run, how, ""}, now});
+    if (how == end_kind::lapsed) {
+        worker.last_lapse = now;
+    }
+    if (how == end_kind::alone) {
+        ++alone_ends;
+        if (!is_disturbed) {
+            violate("GANG", run, "a member waited in vain");
+        }
+    }
+}
+
+void sim_cell::advance(sim_worker& worker)
+{
+    if (!worker.is_up) {
+        return;
+    }
+    std::vector<std::pair<run_key, end_kind>> over;
+    for (const auto& [key, run] : worker.runs) {
+        if (worker.clock(now) >= worker.lease) {
+            over.emplace_back(key, end_kind::lapsed);
+        }
+        else if (run.stops && now >= *run.stops) {
+            over.emplace_back(key, end_kind::stopped);
+        }
+        else if (run.waits && now - run.began >= gang_time) {
+            over.emplace_back(key, end_kind::alone);
+        }
+        else if (!run.waits && !run.hangs && now >= run.ends) {
+            over.emplace_back(key, run.how);
+        }
+    }
+    for (const auto& [key, how] : over) {
+        end(worker, key, how);
+        const auto* const job = records.find(key.task.job);
+        if (how == end_kind::done || job == nullptr || !job->spec.steps[key.task.step].gang) {
+            continue;
+        }
+        for (auto& [id, other] : workers) {
+            for (auto& [member, state] : other.runs) {
+                if (step_of(member.task) == step_of(key.task) && member.attempt == key.attempt &&
+                    !state.waits) {
+                    state.how = end_kind::broken;
+                    state.ends = now;
+                }
+            }
+        }
+    }
+}
+
+std::int64_t sim_cell::millis(base::time_point when) const
+{
+    return std::chrono::duration_cast<milliseconds>(when - m_begin).count();
+}
+
+void sim_cell::violate(const std::string& rule, const run_key& run, const std::string& detail)
+{
+    violations.push_back(
+        absl::StrCat(rule, " ", text_of(run), " at ", millis(now), " ms: ", detail));
+}
+
+void sim_cell::check_start(const sim_worker& worker, const run_key& run)
+{
+    const auto& job = *records.find(run.task.job);
+    const auto& step = job.spec.steps[run.task.step];
+    size used = step.size;
+    size account = step.size;
+    for (auto& [id, other] : workers) {
+        if (!other.is_up) {
+            continue;
+        }
+        advance(other);
+        for (const auto& [key, state] : other.runs) {
+            const auto& other_job = *records.find(key.task.job);
+            const auto size = other_job.spec.steps[key.task.step].size;
+            if (id == worker.info.id) {
+                used += size;
+            }
+            if (other_job.spec.account == job.spec.account) {
+                account += size;
+            }
+            if (key.task == run.task) {
+                violate("TWICE", run,
+                        absl::StrCat("also runs on ", id.str(), " as attempt ", key.attempt,
+                                     other.is_cut ? ", cut off" : "", ", clock ",
+                                     other.clock(now).count(), " lease ", other.lease.count()));
+            }
+        }
+    }
+    if (!used.fits_in(worker.info.capacity)) {
+        violate("LIMIT", run,
+                absl::StrCat(used.millicores, " millicores on ", worker.info.id.str()));
+    }
+    const auto& limit = config->accounts.at(job.spec.account).limit;
+    if (limit.millicores > 0 && account.millicores > limit.millicores) {
+        violate("QUOTA", run, absl::StrCat(account.millicores, " of ", limit.millicores));
+    }
+    if (records.find(run.task)->done) {
+        violate("TWICE", run, "is done already");
+    }
+    if (!job.is_ready(run.task.occurrence, run.task.step)) {
+        violate("ORDER", run, "an earlier step isn't done");
+    }
+    m_starts[run.task].emplace_back(run.attempt, now);
+    const auto cancelled = m_cancelled.find(run.task.job);
+    if (cancelled != m_cancelled.end() && now - cancelled->second > 3s) {
+        violate("UNASKED", run, "the job is cancelled");
+    }
+}
+
+// An end counts once the cursor has reached it, unless the worker's lease ran out before.
+void sim_cell::note(const sim_worker& worker, const sim_worker::listed_end& end)
+{
+    if (worker.last_lapse <= end.at) {
+        m_noted[end.row.run.task].push_back({end.row.run.attempt, end.at, end.row.how});
+    }
+}
+
+void sim_cell::check_noted_ends()
+{
+    for (const auto& [task, starts_of_task] : m_starts) {
+        const auto* const job = records.find(task.job);
+        for (const auto& [attempt, at_time] : starts_of_task) {
+            std::uint32_t failed = 0;
+            for (const auto& end : m_noted[task]) {
+                if (end.at >= at_time) {
+                    continue;
+                }
+                failed += end.how == end_kind::failed ? 1 : 0;
+                if (end.how == end_kind::done) {
+                    violate("TWICE", {task, attempt},
+                            absl::StrCat("started at ", millis(at_time), " ms, but attempt ",
+                                         end.attempt, " was done at ", millis(end.at),
+                                         " ms and noted"));
+                }
+            }
+            if (job != nullptr && failed >= job->spec.max_attempts) {
+                violate("BUDGET", {task, attempt}, "has failed too often");
+            }
+        }
+    }
+}
+
+} // namespace lovagebeam::jobs::test
