Answer for jobs that are about to end, find lost leaders and workers sooner

After the leader's host lost power nothing was placed for 1.9 s: entry processes needed two time-outs of 600 ms to leave it; the new leader called all 350 workers itself until the next metrics pass; and 32 steps that waited for advice counted as steps that don't fit, so that those behind them were not even asked about. Workers that have gone kept the members of gangs for the rest of their leases.

Ruled out: the leader's processor (0.20 of 0.40 cores at most), room (1,000 cores free or more).

Change: state_watch lets a request for the state of a job whose last tasks run wait up to 100 ms for the end. An entry process asks other core processes once the leader is 600 ms late. A new leader relays through the members of its group at once. A step that waits for advice is no misfit, and advice on new jobs is ranked by when they are due. A worker that leaves a start unanswered for 250 ms gets no more until it answers, unless that holds for 30% of them. Two refused connections end the placements of a worker whose start was answered or listed.

--- a/include/lovagebeam/jobs/advice_desk.h
+++ b/include/lovagebeam/jobs/advice_desk.h
@@ -58,6 +58,13 @@
                                       const std::optional<std::vector<advice_row>>& rows);
 
     [[nodiscard]] const knowledge* find(const step_key& step) const;
+    /// Whether the first answer about the step is still to come.
+    [[nodiscard]] bool is_first_call_open(const step_key& step) const
+    {
+        const auto* const known = find(step);
+        return known != nullptr && known->is_asking && known->allowed.empty() &&
+               known->refused.empty();
+    }
     /// Whether the ticket can still be used at `now`.
     [[nodiscard]] bool is_valid(base::time_point now, const ticket& given) const
     {
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -82,7 +82,7 @@
     /// An agent that makes advice calls is there.
     void on_agent(base::time_point now, const base::node_id& agent);
     /// A job is about to be committed: advice on its first steps is asked meanwhile.
-    void on_submission(base::time_point now, const job_spec& spec);
+    void on_submission(base::time_point now, base::wall_time wall, const job_spec& spec);
     /// The ledger applied this batch.
     void on_applied(base::time_point now, const proto::jobs::Batch& batch);
     void on_batch_committed(std::uint64_t id);
@@ -148,6 +148,8 @@
     };
     /// Whether tickets have to be valid now.
     enum class ticket_rule { valid, any };
+    /// Whether a step waits for an answer of the advice service.
+    enum class advice_wait { none, open };
 
     // Events.
     void add_ready_steps(const job_record& job);
@@ -192,9 +194,11 @@
     candidate_worker* choose(const planned_step& step,
                              const std::vector<candidate_worker*>& eligible,
                              const std::map<base::worker_id, std::uint32_t>& counts) const;
-    void ask_advice(base::time_point now, const planned_step& step, ready_step& ready);
-    void ask_about(base::time_point now, const step_key& key, const job_spec& job,
-                   const std::string& pool, const advice_policy& policy, base::wall_time due_by);
+    /// Asks for what the step lacks. Returns whether it has room and only waits for an answer, or
+    /// for the first one.
+    advice_wait ask_advice(base::time_point now, const planned_step& step, ready_step& ready);
+    void ask_about(const step_key& key, const job_spec& job, const std::string& pool,
+                   const advice_policy& policy, base::wall_time due_by);
     void commit(const planned_step& step, const std::vector<assignment>& chosen);
     void unplan(const task_key& key);
     void reserve(base::time_point now, const planned_step& step,
--- a/include/lovagebeam/jobs/orders.h
+++ b/include/lovagebeam/jobs/orders.h
@@ -109,6 +109,7 @@
     answered,
     fenced,  ///< the worker has seen a higher fencing token
     gone,    ///< another life of the worker answered
+    refused, ///< nothing listens at the worker's address
     unknown, ///< no answer or an unreadable one
 };
 
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -20,9 +20,17 @@
     milliseconds hold_wait{1'000};
     /// A hold that failed is sent again after this time.
     milliseconds hold_retry{250};
+    /// After so many refused connections in a row, each after `hold_retry`, the worker's process has
+    /// ended. One alone may come from a process that is about to listen.
+    std::uint32_t refusals_of_ended = 2;
     /// A worker gets starts while its last answer to a hold is at most this old: a hold's wait and
     /// a lost one.
     milliseconds contact_time{2'500};
+    /// A worker that leaves a start unanswered for this long gets no further ones until it answers
+    /// something: several times what a start call takes, and a fraction of what a lookup may take.
+    milliseconds answer_time{250};
+    /// Beyond this part of the workers the delay is on the way to them, so none is passed over.
+    double doubted_fraction = 0.3;
     /// A start is refused by the worker after this time, so that one that is carried out late has
     /// no effect.
     milliseconds start_window{1'200};
@@ -49,7 +57,8 @@
 ///
 /// A placement ends in one of these ways only: the worker lists its end; the worker refused the
 /// start; the worker's lists lack the run although no start can still take effect; another life of
-/// the worker is seen; or every lease on the worker has lapsed without contact.
+/// the worker is seen; nothing listens at its address any more; or every lease on the worker has
+/// lapsed without contact.
 class worker_table {
 public:
     struct end_report {
@@ -127,6 +136,9 @@
         bool is_removed = false;
         bool is_fenced = false; ///< answered a hold under this leader's token
         bool is_silent = false; ///< didn't answer the last hold
+        /// When the first start was sent after the worker's last answer.
+        std::optional<base::time_point> unanswered_since;
+        std::uint32_t refusals = 0; ///< holds that found nothing listening, in a row
         std::optional<base::time_point> heard;
         base::time_point lease_end; ///< by then every lease on the worker has lapsed
         worker_time clock{};
@@ -153,11 +165,13 @@
     [[nodiscard]] worker_address address(const entry& worker) const;
     [[nodiscard]] worker_time clock_now(const entry& worker, base::time_point now) const;
     void extend(entry& worker, worker_time deadline);
+    [[nodiscard]] bool is_doubted(const entry& worker, base::time_point now) const;
     void send_hold(entry& worker, base::time_point now);
     void send_stop(entry& worker, base::time_point now, const run_key& run);
     void report(entry& worker, const run_key& run, end_kind how, std::string checkpoint = {});
     void begin_life(entry& worker, base::time_point now, const worker_info& info);
     void end_placements(entry& worker, end_kind how);
+    void end_process(entry& worker);
     void settle_other_life(entry& worker, base::time_point now, base::time_point sent,
                            const run_key& run);
     void read_finished(entry& worker, base::time_point now, const hold_answer& answer);
@@ -173,6 +187,7 @@
     const ledger& m_ledger;
     fencing_token m_token;
     std::map<base::worker_id, entry> m_workers;
+    std::size_t m_doubted = 0; ///< workers that leave a start unanswered
     output m_out;
 };
 
--- a/include/lovagebeam/targets/http_client.h
+++ b/include/lovagebeam/targets/http_client.h
@@ -66,6 +66,7 @@
     /// certainly had no effect there.
     bool maybe_sent = false;
     bool reused_connection = false; ///< The connection had served an earlier call.
+    bool nothing_listens = false;   ///< The other end refused the connection.
     unsigned status = 0;
     std::vector<http_header> headers;
     std::string body;
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -138,7 +138,7 @@
         submit(now, waited, about, call.body(), std::move(reply));
     }
     else if (call.method() == "GET") {
-        show(about, reply);
+        show(now, about, reply);
     }
     else if (call.method() == "DELETE" && about.names_job) {
         cancel(now, about, std::move(reply));
@@ -223,7 +223,7 @@
     }
 }
 
-void caller_service::show(const subject& about, const done& reply)
+void caller_service::show(base::time_point now, const subject& about, const done& reply)
 {
     if (!about.names_job) {
         reply(answer_with(status_ok, m_parts.codec->encode_pending(
@@ -231,6 +231,25 @@
         return;
     }
     const auto* const job = m_parts.records().find(about.job);
+    const bool waits =
+        job != nullptr && state_watch::is_ending(*job) &&
+        m_watch.wait(now, about.job, [this, id = about.job, reply](state_watch::reason why) {
+            if (why != state_watch::reason::not_leading) {
+                show_state(id, reply);
+                return;
+            }
+            pb::CallerAnswer elsewhere;
+            elsewhere.set_not_leader(true);
+            reply(std::move(elsewhere));
+        });
+    if (!waits) {
+        show_state(about.job, reply);
+    }
+}
+
+void caller_service::show_state(jobs::job_number id, const done& reply) const
+{
+    const auto* const job = m_parts.records().find(id);
     if (job == nullptr) {
         reply(answer_with(status_gone));
         return;
@@ -238,6 +257,24 @@
     reply(answer_with(status_ok, m_parts.codec->encode_state(job->state)));
 }
 
+void caller_service::on_applied(const proto::jobs::Batch& batch)
+{
+    const auto wake_if_ended = [this](jobs::job_number id) {
+        const auto* const job = m_parts.records().find(id);
+        if (job != nullptr && is_final(job->state)) {
+            m_watch.on_ended(id);
+        }
+    };
+    for (const auto& operation : batch.operations()) {
+        if (operation.has_end()) {
+            wake_if_ended(jobs::job_number{operation.end().task().job()});
+        }
+        else if (operation.has_cancel()) {
+            wake_if_ended(jobs::job_number{operation.cancel().job()});
+        }
+    }
+}
+
 void caller_service::cancel(base::time_point now, const subject& about, done reply)
 {
     const auto* const job = m_parts.records().find(about.job);
--- a/src/controlplane/caller_service.h
+++ b/src/controlplane/caller_service.h
@@ -4,6 +4,7 @@
 #include "lovagebeam/jobs/ledger.h"
 
 #include "controlplane.pb.h"
+#include "state_watch.h"
 
 #include <functional>
 #include <map>
@@ -43,6 +44,13 @@
     void handle(base::time_point now, base::duration waited, const jobs::catalog* catalog,
                 const proto::controlplane::CallerCall& call, done reply);
 
+    /// `batch` was applied to the ledger: answers those who wait for the jobs that it ended.
+    void on_applied(const proto::jobs::Batch& batch);
+    /// Answers those who have waited long enough for a job's end.
+    void tick(base::time_point now) { m_watch.tick(now); }
+    /// This process no longer leads: those who wait are sent to the leader.
+    void stop_leading() { m_watch.stop_leading(); }
+
 private:
     struct subject {
         const jobs::queue_settings* queue = nullptr;
@@ -53,11 +61,13 @@
 
     void submit(base::time_point now, base::duration waited, const subject& about,
                 std::string_view body, done reply);
-    void show(const subject& about, const done& reply);
+    void show(base::time_point now, const subject& about, const done& reply);
+    void show_state(jobs::job_number id, const done& reply) const;
     void cancel(base::time_point now, const subject& about, done reply);
     void finish_submission(jobs::job_number id, commit_outcome outcome);
 
     parts m_parts;
+    state_watch m_watch;
     /// Submissions whose commit is under way. A job that is sent twice waits for the one commit.
     std::map<jobs::job_number, std::vector<done>> m_submissions;
 };
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -55,13 +55,25 @@
 
 std::vector<std::string> core_group::relays(base::time_point now) const
 {
-    std::vector<std::string> out;
+    std::set<std::string> out;
     for (const auto& [id, core] : m_heard) {
-        if (core.is_durable && now - core.heard < presence_time && id != m_identity.id) {
-            out.push_back(id.str());
+        if (core.is_durable && now - core.heard < presence_time) {
+            out.insert(id.str());
         }
     }
-    return out;
+    // A new leader hasn't heard from the others yet. All members have a disk.
+    if (m_is_leading && now - m_leading_since < presence_time) {
+        const auto& config = m_log.replica().config();
+        for (const auto* list : {&config.voters, &config.learners}) {
+            for (const auto& member : *list) {
+                if (member.id != m_previous_leader) {
+                    out.insert(member.id.str());
+                }
+            }
+        }
+    }
+    out.erase(m_settings.address);
+    return {out.begin(), out.end()};
 }
 
 // A process without a disk takes part in the choice of the first voters while it serves already.
@@ -114,6 +126,9 @@
         m_is_leading = !m_is_leading;
         m_leading_since = now;
     }
+    if (const auto& known = m_log.replica().leader(); !known.empty() && known != m_identity.id) {
+        m_previous_leader = known;
+    }
     if (m_is_leading && now - m_last_plan >= plan_interval) {
         m_last_plan = now;
         plan_members(now);
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -79,6 +79,7 @@
     base::time_point m_last_hello;
     base::time_point m_last_plan;
     base::time_point m_leading_since;
+    base::node_id m_previous_leader; ///< the last one besides this process
     bool m_is_leading = false;
 };
 
--- a/src/controlplane/core_parts.cpp
+++ b/src/controlplane/core_parts.cpp
@@ -35,6 +35,8 @@
 constexpr std::chrono::milliseconds agent_time{300};
 /// Orders and outcomes of this time travel in one message.
 constexpr std::chrono::milliseconds relay_interval{3};
+/// A core process that joins or leaves is noticed within this time.
+constexpr std::chrono::milliseconds relay_update_interval{100};
 constexpr std::chrono::seconds metrics_interval{1};
 constexpr std::size_t internal_body_bytes = std::size_t{2} << 20U;
 
@@ -83,7 +85,7 @@
                  },
                  [this](base::time_point now, const jobs::job_spec& spec) {
                      if (m_coordinator) {
-                         m_coordinator->on_submission(now, spec);
+                         m_coordinator->on_submission(now, wall_now(), spec);
                      }
                  }}}
 {
@@ -159,6 +161,7 @@
     if (m_coordinator && batch.ParseFromString(command.job_batch())) {
         m_core_metrics.on_applied(records(), batch, wall_now());
         m_coordinator->on_applied(now, batch);
+        m_callers.on_applied(batch);
     }
 }
 
@@ -211,16 +214,23 @@
 {
     m_log.tick(now);
     m_group.tick(now);
+    if (now - m_last_relay_update >= relay_update_interval) {
+        m_last_relay_update = now;
+        update_relays();
+    }
     m_worker_port.tick(now);
     if (m_log.is_established_leader(now) && !m_is_stopped) {
         lead(now);
+        m_callers.tick(now);
+    }
+    else {
+        m_callers.stop_leading();
     }
     if (m_coordinator) {
         m_coordinator->tick(now, wall_now());
     }
     if (now - m_last_metrics >= metrics_interval) {
         m_last_metrics = now;
-        update_relays();
         m_core_metrics.update(records(), m_coordinator.get(), now);
     }
 }
@@ -244,6 +254,7 @@
     if (m_catalog) {
         m_coordinator->on_catalog(m_catalog);
     }
+    update_relays();
     log_event{severity::info, "leading"}
         .with("token", token.value())
         .with("workers", records().workers().size())
@@ -256,6 +267,7 @@
     if (m_coordinator) {
         log_event{severity::info, "stopped_leading"}.write();
         m_coordinator.reset();
+        m_callers.stop_leading();
     }
 }
 
--- a/src/controlplane/core_parts.h
+++ b/src/controlplane/core_parts.h
@@ -87,6 +87,7 @@
     telemetry::metrics_registry& m_metrics;
     core_metrics m_core_metrics;
     base::time_point m_last_metrics;
+    base::time_point m_last_relay_update;
     base::time_point m_last_relay_flush;
     std::unique_ptr<storage::file_system> m_files;
     daemon::decision_loop m_loop;
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -5,6 +5,7 @@
 #include "internal_calls.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lovagebeam::controlplane {
@@ -19,6 +20,10 @@
 constexpr std::chrono::milliseconds search_interval{60};
 constexpr std::chrono::milliseconds sync_time{600};
 constexpr std::uint32_t most_syncs = 3;
+/// A leader that hasn't confirmed for this long may be gone, so the other core processes are asked:
+/// the interval between calls and several times what an answer takes.
+constexpr std::chrono::milliseconds late_leader_time{600};
+constexpr std::chrono::milliseconds question_interval{150};
 /// An entry process is connected this long after the leader's last confirmation.
 constexpr std::chrono::milliseconds confirmation_time{1'500};
 /// A call to the leader that isn't answered by then is sent again.
@@ -56,20 +61,41 @@
     if (now >= m_next_sync && m_syncs < most_syncs) {
         sync(now);
     }
+    if (is_leader_late(now) && now >= m_next_question) {
+        ask_another(now);
+    }
     send_waiting(now);
 }
 
+bool leader_link::is_leader_late(base::time_point now) const
+{
+    return !m_leader.empty() && now - m_confirmed >= late_leader_time;
+}
+
 void leader_link::sync(base::time_point now)
 {
     m_next_sync = now + (m_leader.empty() ? search_interval : sync_interval);
-    std::string to = m_leader;
-    if (to.empty()) {
-        if (m_cores.empty()) {
-            return;
-        }
-        to = *std::next(m_cores.begin(),
-                        static_cast<std::ptrdiff_t>(m_next_core++ % m_cores.size()));
+    if (!m_leader.empty()) {
+        send_sync(m_leader);
+    }
+    else if (!m_cores.empty()) {
+        send_sync(*std::next(m_cores.begin(),
+                             static_cast<std::ptrdiff_t>(m_next_core++ % m_cores.size())));
+    }
+}
+
+void leader_link::ask_another(base::time_point now)
+{
+    m_next_question = now + question_interval;
+    std::vector<std::string> others;
+    std::ranges::remove_copy(m_cores, std::back_inserter(others), m_leader);
+    if (!others.empty()) {
+        send_sync(others[m_next_core++ % others.size()]);
     }
+}
+
+void leader_link::send_sync(const std::string& to)
+{
     ++m_syncs;
     pb::SyncRequest request;
     request.set_entry(m_settings.address);
@@ -100,8 +126,18 @@
     }
     if (answer->is_leader()) {
         m_confirmed = now;
+        if (asked != m_leader && !m_leader.empty()) {
+            leave(m_leader);
+        }
         set_leader(now, asked, "confirmed");
     }
+    else if (asked != m_leader && is_leader_late(now)) {
+        // Its answer may still name the late leader, which says nothing new.
+        if (!answer->leader().empty() && answer->leader() != m_leader) {
+            leave(m_leader);
+            set_leader(now, answer->leader(), "told while the leader is late");
+        }
+    }
     else if (asked == m_leader || m_leader.empty()) {
         const bool is_denied = answer->leader() == m_denied_by && now < m_denied_until;
         const bool is_usable = answer->leader() != asked && !is_denied;
@@ -109,6 +145,12 @@
     }
 }
 
+// Calls that wait for a former leader are cancelled here and sent again to the next one.
+void leader_link::leave(const std::string& leader)
+{
+    m_client.close_endpoint({leader, core_port(m_settings)});
+}
+
 void leader_link::set_leader(base::time_point now, const std::string& leader, std::string_view why)
 {
     if (leader == m_leader) {
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -58,6 +58,10 @@
     using shared_call = std::shared_ptr<passed_call>;
 
     void sync(base::time_point now);
+    /// Asks another core process than the leader who leads.
+    void ask_another(base::time_point now);
+    void send_sync(const std::string& to);
+    [[nodiscard]] bool is_leader_late(base::time_point now) const;
     void on_sync(base::time_point now, const std::string& asked,
                  const std::optional<proto::controlplane::SyncAnswer>& answer);
     void send(base::time_point now, const shared_call& call);
@@ -66,6 +70,7 @@
     void wait(const shared_call& call) { m_waiting.push_back(call); }
     void send_waiting(base::time_point now);
     void set_leader(base::time_point now, const std::string& leader, std::string_view why);
+    void leave(const std::string& leader);
     void give_up(const shared_call& call);
 
     const settings::process_settings& m_settings;
@@ -77,6 +82,7 @@
     std::string m_denied_by; ///< the process that last said that it doesn't lead
     base::time_point m_denied_until;
     base::time_point m_next_sync;
+    base::time_point m_next_question; ///< to another core process than the leader
     std::uint64_t m_next_core = 0;
     std::uint32_t m_syncs = 0;      ///< under way
     std::uint32_t m_unanswered = 0; ///< by the leader, one after the other
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -62,7 +62,7 @@
     m_advice.on_agent(now, agent);
 }
 
-void coordinator::on_submission(base::time_point now, const job_spec& spec)
+void coordinator::on_submission(base::time_point now, base::wall_time wall, const job_spec& spec)
 {
     const auto* const policy = advice_for(spec);
     if (policy == nullptr || spec.occurrences != 0 || m_ledger.find(spec.id) != nullptr) {
@@ -73,7 +73,8 @@
     }
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         if (spec.steps[step].depends_on.empty()) {
-            ask_about(now, {spec.id, 0, step}, spec, pool_of(spec), *policy, base::wall_time{});
+            ask_about({spec.id, 0, step}, spec, pool_of(spec), *policy,
+                      objective_end(spec, wall, 1));
         }
     }
 }
--- a/src/jobs/orders.cpp
+++ b/src/jobs/orders.cpp
@@ -24,6 +24,7 @@
     named<hold_outcome>{hold_outcome::answered, "answered"},
     named<hold_outcome>{hold_outcome::fenced, "fenced"},
     named<hold_outcome>{hold_outcome::gone, "gone"},
+    named<hold_outcome>{hold_outcome::refused, "refused"},
     named<hold_outcome>{hold_outcome::unknown, "unknown"},
 };
 
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -126,7 +126,7 @@
         m_is_dirty = true;
         return false;
     }
-    if (step.spec.gang && step.record.placed > 0) {
+    if ((step.spec.gang && step.record.placed > 0) || m_advice.is_first_call_open(key)) {
         return false;
     }
     release_reservation(key);
@@ -145,10 +145,10 @@
         remove_ready_step(key);
         return false;
     }
-    if (advice_for(job->spec) != nullptr) {
-        ask_advice(now, step, ready);
-    }
-    return chosen.empty();
+    // A step that waits for advice says nothing about the room for others.
+    const bool waits_for_advice =
+        advice_for(job->spec) != nullptr && ask_advice(now, step, ready) == advice_wait::open;
+    return chosen.empty() && !waits_for_advice;
 }
 
 std::map<base::worker_id, std::uint32_t>
--- a/src/jobs/planning_advice.cpp
+++ b/src/jobs/planning_advice.cpp
@@ -46,25 +46,24 @@
 
 // Asks for tickets where the step would fit; where it fits nowhere that is known, asks about the
 // workers that no call has named yet.
-void coordinator::ask_advice(base::time_point now, const planned_step& step, ready_step& ready)
+coordinator::advice_wait coordinator::ask_advice(base::time_point now, const planned_step& step,
+                                                 ready_step& ready)
 {
     const auto* const known = m_advice.find(step.key);
+    const auto wanted = assign(now, step, ticket_rule::any);
     if (known != nullptr && known->is_asking) {
-        const auto wanted = assign(now, step, ticket_rule::any);
         if (!wanted.empty()) {
             reserve(now, step, wanted);
         }
-        return;
+        return wanted.empty() ? advice_wait::none : advice_wait::open;
     }
     const auto& policy = *advice_for(step.job.spec);
-    const auto wanted = assign(now, step, ticket_rule::any);
     if (wanted.empty()) {
-        if (now < ready.ask_not_before) {
-            return;
+        if (now >= ready.ask_not_before) {
+            ready.ask_not_before = now + m_settings.planner.ask_interval;
+            ask_about(step.key, step.job.spec, step.pool, policy, ready.due_by);
         }
-        ready.ask_not_before = now + m_settings.planner.ask_interval;
-        ask_about(now, step.key, step.job.spec, step.pool, policy, ready.due_by);
-        return;
+        return m_advice.is_first_call_open(step.key) ? advice_wait::open : advice_wait::none;
     }
     std::set<base::worker_id> renewed;
     for (const auto& one : wanted) {
@@ -73,11 +72,11 @@
     m_advice.ask(step.key, policy, {renewed.begin(), renewed.end()},
                  {step.job.spec.priority, ready.due_by.time_since_epoch().count()});
     reserve(now, step, wanted);
+    return advice_wait::open;
 }
 
-void coordinator::ask_about(base::time_point, const step_key& key, const job_spec& job,
-                            const std::string& pool, const advice_policy& policy,
-                            base::wall_time due_by)
+void coordinator::ask_about(const step_key& key, const job_spec& job, const std::string& pool,
+                            const advice_policy& policy, base::wall_time due_by)
 {
     const auto* const known = m_advice.find(key);
     const auto& step = job.steps[key.step];
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -28,6 +28,10 @@
     if (outcome != hold_outcome::answered) {
         worker->is_silent = true;
         worker->next_hold = now + m_settings.hold_retry;
+        worker->refusals = outcome == hold_outcome::refused ? worker->refusals + 1 : 0;
+        if (worker->refusals == m_settings.refusals_of_ended) {
+            end_process(*worker);
+        }
         return;
     }
     if (answer.born != worker->info.born) {
@@ -38,6 +42,8 @@
     }
     worker->is_fenced = true;
     worker->is_silent = false;
+    worker->refusals = 0;
+    worker->unanswered_since.reset();
     worker->heard = now;
     worker->clock = answer.clock;
     worker->clock_read = now;
@@ -48,6 +54,23 @@
         worker->listed > worker->cursor ? now + m_settings.commit_patience : base::time_point{};
 }
 
+// What ran in the worker's process ended with it. A start that may still be under way, also one of
+// an earlier leader, could begin in the next process under the same id, so its placement waits for
+// that one or for the lease.
+void worker_table::end_process(entry& worker)
+{
+    for (const auto& key : m_ledger.placed_on(worker.info.id)) {
+        const auto& task = *m_ledger.find(key);
+        const run_key run{key, task.attempt};
+        const auto start = worker.starts.find(run);
+        const bool has_begun = worker.running.contains(run) ||
+                               (start != worker.starts.end() && start->second.answered);
+        if (has_begun && task.born == worker.info.born) {
+            report(worker, run, end_kind::lost);
+        }
+    }
+}
+
 void worker_table::read_finished(entry& worker, base::time_point now, const hold_answer& answer)
 {
     const auto before = worker.listed;
@@ -205,7 +228,9 @@
 void worker_table::tick(base::time_point now)
 {
     std::vector<base::worker_id> forgotten;
+    m_doubted = 0;
     for (auto& [id, worker] : m_workers) {
+        m_doubted += is_doubted(worker, now) ? 1 : 0;
         const bool has_placements = !m_ledger.placed_on(id).empty();
         if (now >= worker.lease_end && has_placements) {
             end_placements(worker, end_kind::lapsed);
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -188,6 +188,9 @@
     const auto deadline =
         clock_now(*worker, now) + std::chrono::duration_cast<worker_time>(m_settings.start_window);
     worker->starts[run] = {deadline, std::nullopt, std::nullopt};
+    if (!worker->unanswered_since) {
+        worker->unanswered_since = now;
+    }
     extend(*worker, deadline);
     return deadline;
 }
@@ -203,6 +206,9 @@
     if (found == worker->starts.end()) {
         return;
     }
+    if (outcome != start_outcome::unknown) {
+        worker->unanswered_since.reset();
+    }
     if (outcome == start_outcome::started) {
         found->second.answered = now;
         return;
@@ -266,12 +272,20 @@
     }
 }
 
+bool worker_table::is_doubted(const entry& worker, base::time_point now) const
+{
+    return worker.unanswered_since && now - *worker.unanswered_since >= m_settings.answer_time;
+}
+
 bool worker_table::is_usable(base::time_point now, const base::worker_id& id) const
 {
     const auto* const worker = find(id);
     return worker != nullptr && !worker->is_removed && !worker->info.draining &&
            worker->is_fenced && !worker->is_silent && worker->heard &&
-           now - *worker->heard < m_settings.contact_time && worker->quarantined_until <= now;
+           now - *worker->heard < m_settings.contact_time && worker->quarantined_until <= now &&
+           (!is_doubted(*worker, now) ||
+            static_cast<double>(m_doubted) >
+                m_settings.doubted_fraction * static_cast<double>(m_workers.size()));
 }
 
 bool worker_table::is_quarantined(base::time_point now, const base::worker_id& id) const
--- a/src/targets/connection.cpp
+++ b/src/targets/connection.cpp
@@ -94,6 +94,7 @@
     }
     m_timer.cancel();
     if (ec) {
+        m_is_refused = ec == asio::error::connection_refused;
         abort(http_outcome::connect_failed, ec.message());
         return;
     }
@@ -247,6 +248,7 @@
     result.outcome = outcome;
     result.maybe_sent = maybe_sent();
     result.reused_connection = m_reused;
+    result.nothing_listens = m_is_refused;
     result.detail = detail;
     const auto call = take_call();
     if (m_phase == phase::connecting) {
--- a/src/targets/connection.h
+++ b/src/targets/connection.h
@@ -87,6 +87,7 @@
     std::uint64_t m_idle_sequence = 0;
     phase m_phase = phase::connecting;
     bool m_reused = false;
+    bool m_is_refused = false;
     bool m_write_begun = false;
     bool m_write_done = false;
     bool m_read_done = false;
--- a/tests/controlplane/leader_link_test.cpp
+++ b/tests/controlplane/leader_link_test.cpp
@@ -106,11 +106,93 @@
     return out;
 }
 
+std::atomic<std::chrono::milliseconds> time_ahead = 0ms;
+
+/// The time of a loop whose clock is put forward instead of waiting.
+base::time_point time_now()
+{
+    return base::boot_time() + time_ahead.load();
+}
+
+std::unique_ptr<callers::http_server> serve(const std::string& address, std::uint16_t port,
+                                            callers::request_handler handler)
+{
+    auto server =
+        callers::http_server_builder{}.listen(address, port).handler(std::move(handler)).build();
+    CPPUNIT_ASSERT(server.ok());
+    CPPUNIT_ASSERT((*server)->start().ok());
+    return *std::move(server);
+}
+
+/// A core process that says once that it leads and then falls silent.
+class silent_core {
+public:
+    silent_core(const std::string& address, std::uint16_t port)
+        : m_address{address},
+          m_server{serve(address, port,
+                         [this](const auto& request, const auto& reply) { answer(request, reply); })}
+    {
+    }
+
+    [[nodiscard]] std::uint16_t port() const { return m_server->port(); }
+
+    std::atomic<int> unanswered_syncs = 0;
+
+private:
+    void answer(const callers::http_request& request, const callers::reply& reply)
+    {
+        if (m_is_silent.exchange(true)) {
+            unanswered_syncs += request.path() == sync_path ? 1 : 0;
+            m_unanswered.push_back(reply);
+            return;
+        }
+        proto::controlplane::SyncAnswer sync;
+        sync.set_is_leader(true);
+        sync.set_leader(m_address);
+        reply(with_message(sync));
+    }
+
+    std::string m_address;
+    std::atomic<bool> m_is_silent = false;
+    std::vector<callers::reply> m_unanswered;
+    std::unique_ptr<callers::http_server> m_server;
+};
+
+/// A core process that follows the silent one until it leads.
+class next_core {
+public:
+    next_core(const std::string& address, std::uint16_t port)
+        : m_address{address},
+          m_server{serve(address, port,
+                         [this](const auto& request, const auto& reply) { answer(request, reply); })}
+    {
+    }
+
+    std::atomic<bool> leads = false;
+
+private:
+    void answer(const callers::http_request& request, const callers::reply& reply)
+    {
+        if (request.path() != sync_path) {
+            reply(with_message(answer_with(200)));
+            return;
+        }
+        proto::controlplane::SyncAnswer sync;
+        sync.set_is_leader(leads);
+        sync.set_leader(leads ? m_address : "127.0.0.2");
+        reply(with_message(sync));
+    }
+
+    std::string m_address;
+    std::unique_ptr<callers::http_server> m_server;
+};
+
 class leader_link_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(leader_link_test);
     CPPUNIT_TEST(pass_refused_at_once_is_refused);
     CPPUNIT_TEST(pass_in_doubt_then_accepted_is_accepted);
     CPPUNIT_TEST(pass_in_doubt_then_refused_is_unknown);
+    CPPUNIT_TEST(pass_leader_falls_silent_goes_to_next_leader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -137,6 +219,53 @@
             CPPUNIT_ASSERT(outcome_kind::unknown == result.how);
         }
     }
+
+    // Pattern: the leader's host loses power, so that connections to it stay silent, and another
+    // process leads soon after. Guards against requests that wait for the time-outs of several
+    // calls to the former leader.
+    void pass_leader_falls_silent_goes_to_next_leader()
+    {
+        silent_core former{"127.0.0.2", 0};
+        next_core next{"127.0.0.3", former.port()};
+        settings::process_settings settings;
+        settings.address = "127.0.0.1";
+        settings.seeds = {{"127.0.0.2", 1}, {"127.0.0.3", 1}};
+        settings.first_internal_port = static_cast<std::uint16_t>(former.port() - 1);
+        targets::http_client client;
+        client.start();
+        time_ahead = 0ms;
+        daemon::decision_loop loop{&time_now};
+        leader_link link{settings, client, loop};
+        std::atomic<bool> is_connected = false;
+        std::thread decisions{[&] {
+            loop.run({[&](base::time_point now) {
+                          link.tick(now);
+                          is_connected = link.is_connected(now);
+                      },
+                      [](base::time_point) {}});
+        }};
+        while (!is_connected) {
+            std::this_thread::sleep_for(1ms);
+        }
+        next.leads = true;
+        std::promise<leader_link::outcome> ended;
+        loop.post_completion([&](base::time_point now) {
+            proto::controlplane::CallerCall call;
+            call.set_method("POST");
+            link.pass(now, call, now + 30s,
+                      [&](const leader_link::outcome& outcome) { ended.set_value(outcome); });
+        });
+        time_ahead = 700ms;
+        const auto result = ended.get_future().get();
+        loop.stop();
+        decisions.join();
+        client.stop();
+        CPPUNIT_ASSERT(outcome_kind::answered == result.how);
+        CPPUNIT_ASSERT_EQUAL(200U, result.answer.status());
+        const int syncs = former.unanswered_syncs;
+        // One follows the confirmation, one comes with the question to the other process.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(syncs) + " calls to the former leader", syncs <= 2);
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(leader_link_test);
--- a/tests/jobs/load_test.cpp
+++ b/tests/jobs/load_test.cpp
@@ -2,6 +2,7 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <algorithm>
 #include <string>
 
 namespace {
@@ -25,6 +26,9 @@
     CPPUNIT_TEST_SUITE(load_test);
     CPPUNIT_TEST(burst_beyond_capacity_later_lookups_are_in_time);
     CPPUNIT_TEST(wide_gang_among_lookups_is_placed);
+    CPPUNIT_TEST(worker_cut_off_among_lookups_draws_few_of_them);
+    CPPUNIT_TEST(all_starts_slow_lookups_still_start);
+    CPPUNIT_TEST(leader_changes_in_burst_lookups_go_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -69,6 +73,59 @@
                              std::string{name_of(cell.records.find(gang.id)->state)});
     }
 
+    // Pattern: lookups at a third of the capacity while one worker is cut off. A lookup placed there
+    // is found only when its lease lapses, too late for whoever waits. Guards against further
+    // lookups going there until a hold has timed out.
+    void worker_cut_off_among_lookups_draws_few_of_them()
+    {
+        sim_cell cell{3, {.workers = 4}};
+        std::uint64_t next = 1;
+        submit_lookups(cell, next, 25, 2s);
+        const auto cut = std::ranges::max_element(cell.workers, {}, [&](const auto& entry) {
+            return cell.records.used_on(entry.first).millicores;
+        });
+        cut->second.is_cut = true;
+        cell.run_for(1ms);
+        const auto before = cell.records.placed_on(cut->first).size();
+        submit_lookups(cell, next, 25, 1s);
+        const auto drawn = cell.records.placed_on(cut->first).size() - before;
+        // 250 ms at 25 lookups a second, and those in the making.
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(drawn) + " lookups", drawn <= 8);
+        cell.run_for(20s);
+        CPPUNIT_ASSERT(cell.violations.empty());
+    }
+
+    // Guards against waiting for answers of all workers when the way to them is slow.
+    void all_starts_slow_lookups_still_start()
+    {
+        sim_cell cell{4, {.workers = 4, .lose_answer = 0.9}};
+        std::uint64_t next = 1;
+        submit_lookups(cell, next, 10, 4s);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(cell.starts) + " starts", cell.starts >= 20);
+    }
+
+    // Pattern: lookups at two thirds of the capacity, each with its own advice, while the leader
+    // changes. The new leader has to ask for all of it again. Guards against lookups that wait for
+    // advice and count as work that doesn't fit, so that those behind them aren't even asked about.
+    void leader_changes_in_burst_lookups_go_on()
+    {
+        sim_cell cell{5, {.workers = 16, .with_advice = true}};
+        std::uint64_t next = 1;
+        submit_lookups(cell, next, 200, 2s);
+        cell.change_leader();
+        const auto first_later = next;
+        submit_lookups(cell, next, 200, 2s);
+        cell.run_for(1s);
+        int placed = 0;
+        for (auto id = first_later; id < next; ++id) {
+            placed += cell.records.find(job_number{id})->was_placed ? 1 : 0;
+        }
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(placed) + " of 400", placed >= 360);
+        cell.run_for(20s);
+        CPPUNIT_ASSERT(cell.is_settled());
+        CPPUNIT_ASSERT(cell.violations.empty());
+    }
+
 private:
     static void submit_lookups(sim_cell& cell, std::uint64_t& next, int per_second,
                                std::chrono::seconds time)
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -167,7 +167,7 @@
 void sim_cell::submit(const job_spec& spec)
 {
     if (leader) {
-        leader->on_submission(now, spec);
+        leader->on_submission(now, wall(), spec);
     }
     proto::jobs::Batch batch;
     auto& operation = *batch.add_operations()->mutable_accept();
@@ -322,7 +322,7 @@
     at(now + delay(), [this, order, sent = now, generation = m_generation] {
         const auto found = workers.find(order.to.worker);
         const auto life = found == workers.end() ? order.to.born : found->second.info.born;
-        answer_hold({order, life, sent, now + order.wait, generation});
+        answer_hold({order, life, sent, now + order.wait, generation, false});
     });
 }
 
@@ -346,7 +346,8 @@
     }
     auto& worker = found->second;
     if (!worker.is_up || worker.info.born != hold.life) {
-        reply(hold_outcome::unknown, {});
+        reply(hold.is_connected || worker.is_cut ? hold_outcome::unknown : hold_outcome::refused,
+              {});
         return;
     }
     if (worker.is_cut || random.chance(settings.lose_request)) {
@@ -357,7 +358,9 @@
     const auto has_news = std::ranges::any_of(
         worker.ends, [&](const auto& end) { return end.row.number > order.cursor; });
     if (!has_news && now < hold.until && order.token.value() >= worker.fence) {
-        at(now + 5ms, [this, hold] { answer_hold(hold); });
+        auto waiting = hold;
+        waiting.is_connected = true;
+        at(now + 5ms, [this, waiting] { answer_hold(waiting); });
         return;
     }
     hold_answer answer;
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -129,6 +129,7 @@
         base::time_point sent;
         base::time_point until;
         std::uint64_t generation = 0;
+        bool is_connected = false; ///< to the process of the worker
     };
     void answer_hold(const waiting_hold& hold);
     void end(sim_worker& worker, const run_key& run, end_kind how);
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -14,6 +14,18 @@
 namespace {
 
 constexpr auto gang_time = 3s;
+constexpr worker_time longest_lease{6'000};
+
+// A lease that is longer than the worker grants is shortened, also that of a start which was meant
+// for an earlier life with a later clock.
+void extend_lease(sim_worker& worker, base::time_point now, worker_time deadline)
+{
+    const auto clock = worker.clock(now);
+    if (clock >= worker.lease) {
+        worker.last_lapse = now;
+    }
+    worker.lease = std::max(worker.lease, std::min(deadline, clock + longest_lease));
+}
 
 } // namespace
 
@@ -23,13 +35,7 @@
         return hold_outcome::fenced;
     }
     worker.fence = order.token.value();
-    if (worker.clock(now) >= worker.lease) {
-        worker.last_lapse = now;
-    }
-    if (order.deadline) {
-        worker.lease = std::max(worker.lease,
-                                std::min(*order.deadline, worker.clock(now) + worker_time{6'000}));
-    }
+    extend_lease(worker, now, order.deadline.value_or(worker_time{}));
     for (const auto& end : worker.ends) {
         if (end.row.number <= order.cursor) {
             note(worker, end);
@@ -65,10 +71,7 @@
     if (order.deadline <= worker.clock(now)) {
         return start_outcome::too_late;
     }
-    if (worker.clock(now) >= worker.lease) {
-        worker.last_lapse = now;
-    }
-    worker.lease = std::max(worker.lease, order.deadline);
+    extend_lease(worker, now, order.deadline);
     const auto barred = worker.barred.find(order.run.task);
     if (barred != worker.barred.end() && barred->second >= order.run.attempt) {
         return start_outcome::superseded;
--- a/tests/jobs/worker_table_test.cpp
+++ b/tests/jobs/worker_table_test.cpp
@@ -28,6 +28,7 @@
     CPPUNIT_TEST(worker_gone_for_good_tasks_run_elsewhere);
     CPPUNIT_TEST(worker_cut_off_task_waits_for_lapse);
     CPPUNIT_TEST(worker_restarted_task_runs_again_at_once);
+    CPPUNIT_TEST(worker_process_ended_task_runs_elsewhere_at_once);
     CPPUNIT_TEST(worker_hangs_task_is_stopped_and_moved);
     CPPUNIT_TEST(worker_fails_everything_is_quarantined);
     CPPUNIT_TEST_SUITE_END();
@@ -73,6 +74,20 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
     }
 
+    // Pattern: workers that crash for good, with members of gangs on them. Guards against waiting
+    // 5 s for leases that ended with the worker's process: connections to it are refused.
+    void worker_process_ended_task_runs_elsewhere_at_once()
+    {
+        sim_cell cell{7, {.workers = 3}};
+        cell.submit(long_job());
+        cell.run_for(1s);
+        const auto first = only_task(cell).worker;
+        cell.workers.at(first).is_up = false;
+        cell.run_for(1500ms);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
+        CPPUNIT_ASSERT(only_task(cell).worker != first);
+    }
+
     void worker_hangs_task_is_stopped_and_moved()
     {
         sim_cell cell{4, {.workers = 3}};
