Log when a worker is in doubt and when its process has ended

Cause: reading the diff, two changes of what the leader believes about a worker had no line: that it left a start unanswered, and that nothing listens at its address. Change: one line for each, with the time unanswered, the refused connections and the placements. Tests: jobs_test and controlplane_test pass; the bounds of the log budget are unchanged.

--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -23,6 +23,8 @@
 /// A leader that hasn't confirmed for this long may be gone, so the other core processes are asked:
 /// the interval between calls and several times what an answer takes.
 constexpr std::chrono::milliseconds late_leader_time{600};
+/// While the leader is late, one of the others is asked this often: several times what an answer
+/// takes.
 constexpr std::chrono::milliseconds question_interval{150};
 /// An entry process is connected this long after the leader's last confirmation.
 constexpr std::chrono::milliseconds confirmation_time{1'500};
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -62,7 +62,11 @@
 // that one or for the lease.
 void worker_table::end_process(entry& worker)
 {
-    for (const auto& key : m_ledger.placed_on(worker.info.id)) {
+    const auto& placed = m_ledger.placed_on(worker.info.id);
+    m_out.notes.push_back({"worker_process_ended", std::nullopt,
+                           absl::StrCat("worker=", worker.info.id.str(), " refused_connections=",
+                                        worker.refusals, " placed=", placed.size())});
+    for (const auto& key : placed) {
         const auto& task = *m_ledger.find(key);
         const run_key run{key, task.attempt};
         const auto start = worker.starts.find(run);
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -167,6 +167,15 @@
 void worker_table::send_check(entry& worker, base::time_point now)
 {
     worker.check_sent = now;
+    if (is_doubted(worker, now)) {
+        const auto silence =
+            std::chrono::duration_cast<milliseconds>(now - *worker.unanswered_since);
+        if (silence < m_settings.answer_time + m_settings.check_interval) {
+            m_out.notes.push_back({"worker_in_doubt", std::nullopt,
+                                   absl::StrCat("worker=", worker.info.id.str(),
+                                                " unanswered_ms=", silence.count())});
+        }
+    }
     auto order = make_hold(worker, now);
     order.is_check = true;
     m_out.holds.push_back(std::move(order));
