--- a/tests/jobs/load_test.cpp
+++ b/tests/jobs/load_test.cpp
@@ -11,10 +11,10 @@
 using namespace lovagebeam::jobs;
 using namespace lovagebeam::jobs::test;
 
-/// A lookup for which somebody waits: 640 ms on 5 cores, in time within 1.2 s, late until 3.6 s.
-job_spec lookup(std::uint64_t id)
+/// A lookup for which somebody waits: 640 ms, in time within 1.2 s, late until 3.6 s.
+job_spec lookup(std::uint64_t id, std::int64_t millicores)
 {
-    auto job = simple_job(id, 1, 5'000);
+    auto job = simple_job(id, 1, millicores);
     job.priority = 0;
     job.slack_factor = 1.5;
     job.target_latency = 250ms;
@@ -74,21 +74,21 @@
                              std::string{name_of(cell.records.find(gang.id)->state)});
     }
 
-    // Pattern: lookups at a third of the capacity while one worker is cut off. A lookup placed
+    // Pattern: small lookups, all of which fit on the worker that is cut off. A lookup placed
     // there is found only when its lease lapses, too late for whoever waits. Guards against further
     // lookups going there until a hold has timed out.
     void worker_cut_off_among_lookups_draws_few_of_them()
     {
         sim_cell cell{3, {.workers = 4}};
         std::uint64_t next = 1;
-        submit_lookups(cell, next, 25, 2s);
+        submit_lookups(cell, next, 25, 2s, 500);
         const auto cut = std::ranges::max_element(cell.workers, {}, [&](const auto& entry) {
             return cell.records.used_on(entry.first).millicores;
         });
         cut->second.is_cut = true;
         cell.run_for(1ms);
         const auto before = cell.records.placed_on(cut->first).size();
-        submit_lookups(cell, next, 25, 1s);
+        submit_lookups(cell, next, 25, 1s, 500);
         const auto drawn = cell.records.placed_on(cut->first).size() - before;
         // 250 ms at 25 lookups a second, and those in the making.
         CPPUNIT_ASSERT_MESSAGE(std::to_string(drawn) + " lookups", drawn <= 8);
@@ -151,10 +151,10 @@
 
 private:
     static void submit_lookups(sim_cell& cell, std::uint64_t& next, int per_second,
-                               std::chrono::seconds time)
+                               std::chrono::seconds time, std::int64_t millicores = 5'000)
     {
         for (int i = 0; i < per_second * time.count(); ++i) {
-            cell.submit(lookup(next++));
+            cell.submit(lookup(next++, millicores));
             cell.run_for(std::chrono::microseconds{1'000'000 / per_second});
         }
     }
