--- a/scripts/lib-demo.sh
+++ b/scripts/lib-demo.sh
@@ -71,6 +71,26 @@
 
 is_ready() { curl -sf --max-time 2 "http://127.0.0.1:$(callers_port "$1")/readyz"; }
 
+# Whether host $1 reports the value $3 for the metric $2. The answer is read whole before the search: with
+# pipefail, a "curl | grep -q" fails when grep exits before curl has written everything.
+has_metric() {
+  local metrics
+  metrics="$(curl -s --max-time 2 "http://127.0.0.1:$(callers_port "$1")/metrics")" || return 1
+  grep -q "^lovagebeam_$2 $3$" <<<"$metrics"
+}
+
+# Prints the number of the first of $1 hosts that reports to be the leader. Fails if none does.
+leader_of() {
+  local i
+  for i in $(seq 1 "$1"); do
+    if has_metric "$i" is_leader 1; then
+      echo "$i"
+      return
+    fi
+  done
+  return 1
+}
+
 entry_hosts() {
   local i list=""
   for i in $(seq 1 "$1"); do list+="${list:+,}127.0.0.1:$(callers_port "$i")"; done
