Decide with the median of the hosts' clocks

Changed: entry hosts report their clocks with each sync; fleet_clock takes the median of those of the last 3 s.

--- a/include/lovagebeam/base/clock.h
+++ b/include/lovagebeam/base/clock.h
@@ -9,4 +9,8 @@
 /// advance while the machine is suspended. Not comparable with times of the steady clock.
 time_point boot_time();
 
+/// Returns the time of day on this host's clock, which may jump. Nothing that expires on one host
+/// is measured with it.
+wall_time wall_now();
+
 } // namespace lovagebeam::base
--- a/src/base/clock.cpp
+++ b/src/base/clock.cpp
@@ -12,4 +12,10 @@
     return time_point{std::chrono::seconds{time.tv_sec} + std::chrono::nanoseconds{time.tv_nsec}};
 }
 
+wall_time wall_now()
+{
+    return std::chrono::time_point_cast<std::chrono::milliseconds>(
+        std::chrono::system_clock::now());
+}
+
 } // namespace lovagebeam::base
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -55,12 +55,6 @@
     return jobs::job_number{value};
 }
 
-base::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 pb::CallerAnswer answer_of(caller_service::commit_outcome outcome)
 {
     pb::CallerAnswer out;
@@ -191,7 +185,8 @@
     m_dependencies.submitted(now, *spec);
     proto::jobs::Operation operation;
     *operation.mutable_accept()->mutable_spec() = jobs::to_proto(*spec);
-    operation.mutable_accept()->set_accepted_ms(wall_now().time_since_epoch().count());
+    operation.mutable_accept()->set_accepted_ms(
+        m_dependencies.wall(now).time_since_epoch().count());
     m_submissions[resolved.job].push_back(std::move(reply));
     std::uint32_t tasks = 0;
     for (const auto& step : spec->steps) {
--- a/src/controlplane/caller_service.h
+++ b/src/controlplane/caller_service.h
@@ -38,6 +38,8 @@
             commit;
         /// Called when a valid submission is about to be proposed.
         std::function<void(base::time_point, const jobs::job_spec&)> submitted;
+        /// Returns the time of day.
+        std::function<base::wall_time(base::time_point)> wall;
     };
 
     explicit caller_service(dependencies deps) : m_dependencies{std::move(deps)} {}
--- a/src/controlplane/core_calls.cpp
+++ b/src/controlplane/core_calls.cpp
@@ -100,6 +100,10 @@
     answer.set_catalog_version(records().catalog_version());
     if (is_leader) {
         m_coordinator->on_agent_contact(now, base::node_id{request.entry()});
+        if (request.wall_ms() != 0) {
+            m_clock.on_reading(now, request.entry(),
+                               base::wall_time{std::chrono::milliseconds{request.wall_ms()}});
+        }
     }
     reply(message_response(answer));
 }
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -42,12 +42,6 @@
 constexpr std::chrono::seconds metrics_interval{1};
 constexpr std::size_t max_internal_body_bytes = std::size_t{2} << 20U;
 
-base::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 std::vector<std::string> initial_voters_of(const settings::daemon_settings& settings)
 {
     std::vector<std::string> out;
@@ -89,9 +83,10 @@
                  },
                  [this](base::time_point now, const jobs::job_spec& spec) {
                      if (m_coordinator) {
-                         m_coordinator->on_submission(now, wall_now(), spec);
+                         m_coordinator->on_submission(now, wall(now), spec);
                      }
-                 }}}
+                 },
+                 [this](base::time_point now) { return wall(now); }}}
 {
     load_catalog();
 }
@@ -163,7 +158,7 @@
     load_catalog();
     proto::jobs::Batch batch;
     if (m_coordinator && batch.ParseFromString(command.job_batch())) {
-        m_core_metrics.on_applied(records(), batch, wall_now());
+        m_core_metrics.on_applied(records(), batch, wall(now));
         m_coordinator->on_applied(now, batch);
         m_callers.on_applied(batch);
     }
@@ -232,7 +227,7 @@
         m_callers.stop_leading();
     }
     if (m_coordinator) {
-        m_coordinator->tick(now, wall_now());
+        m_coordinator->tick(now, wall(now));
     }
     if (now - m_last_metrics_update >= metrics_interval) {
         m_last_metrics_update = now;
@@ -240,6 +235,11 @@
     }
 }
 
+base::wall_time core_host_implementation::wall(base::time_point now)
+{
+    return m_clock.wall(now, base::wall_now());
+}
+
 void core_host_implementation::update_relays()
 {
     m_worker_port.set_cores(m_group.relays(base::boot_time()));
@@ -255,7 +255,7 @@
     const jobs::fencing_token token{m_log.replica().current_term().value() * tokens_per_term +
                                     m_coordinators_in_term++};
     m_coordinator = std::make_unique<jobs::coordinator>(coordinator_settings_for(m_settings),
-                                                        records(), token, now, wall_now());
+                                                        records(), token, now, wall(now));
     if (m_catalog) {
         m_coordinator->on_catalog(m_catalog);
     }
@@ -291,7 +291,7 @@
 
 void core_host_implementation::execute_decisions(base::time_point now)
 {
-    auto out = m_coordinator->take(now, wall_now());
+    auto out = m_coordinator->take(now, wall(now));
     for (const auto& [id, batch] : out.batches) {
         commit_batch(now, id, batch);
     }
@@ -421,7 +421,7 @@
 void core_host_implementation::commit(base::time_point now, proto::jobs::Batch batch,
                                       commit_done done)
 {
-    batch.set_time_ms(wall_now().time_since_epoch().count());
+    batch.set_time_ms(wall(now).time_since_epoch().count());
     state::command command;
     command.set_job_batch(batch.SerializeAsString());
     m_log.propose_as_leader(now, std::move(command), now + commit_timeout,
--- a/src/controlplane/core_host_implementation.h
+++ b/src/controlplane/core_host_implementation.h
@@ -10,6 +10,7 @@
 #include "core_group.h"
 #include "core_metrics.h"
 #include "decision_loop.h"
+#include "fleet_clock.h"
 #include "log_storage.h"
 #include "peer_links.h"
 #include "replication.h"
@@ -72,6 +73,8 @@
     void handle_catalog(base::time_point now, const std::string& document,
                         const control_done& done);
     void load_catalog();
+    /// The time of day that decisions use.
+    [[nodiscard]] base::wall_time wall(base::time_point now);
     void update_relays();
     void start_leading(base::time_point now);
     void stop_leading();
@@ -99,6 +102,7 @@
     std::unique_ptr<daemon::log_writer> m_writer;
     daemon::replication m_log;
     core_group m_group;
+    fleet_clock m_clock;
     worker_relay m_worker_port;
     caller_service m_callers;
     std::unique_ptr<callers::http_server> m_server;
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -1,5 +1,6 @@
 #include "leader_link.h"
 
+#include "lovagebeam/base/clock.h"
 #include "lovagebeam/telemetry/log.h"
 
 #include "internal_calls.h"
@@ -102,6 +103,7 @@
     ++m_pending_syncs;
     pb::SyncRequest request;
     request.set_entry(m_settings.address);
+    request.set_wall_ms(base::wall_now().time_since_epoch().count());
     post_message<pb::SyncAnswer>(
         m_client, to, core_port(m_settings), sync_path, request, sync_timeout,
         [this, to](std::optional<pb::SyncAnswer> answer, call_failure) {
--- a/src/daemon/replication.cpp
+++ b/src/daemon/replication.cpp
@@ -1,5 +1,6 @@
 #include "replication.h"
 
+#include "lovagebeam/base/clock.h"
 #include "lovagebeam/base/errors.h"
 #include "lovagebeam/telemetry/log.h"
 
@@ -25,12 +26,6 @@
                       message);
 }
 
-base::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 } // namespace
 
 replication::replication(dependencies initial)
@@ -209,8 +204,8 @@
 {
     const auto tag = next_tag();
     auto [entry, inserted] = m_proposals.emplace(
-        tag, pending_proposal{state::encode_command(std::move(body), wall_now()), deadline, now,
-                              std::move(done)});
+        tag, pending_proposal{state::encode_command(std::move(body), base::wall_now()), deadline,
+                              now, std::move(done)});
     submit(now, tag, entry->second);
 }
 
@@ -222,8 +217,8 @@
         return;
     }
     const auto tag = next_tag();
-    pending_proposal pending{state::encode_command(std::move(body), wall_now()), deadline, now,
-                             std::move(done)};
+    pending_proposal pending{state::encode_command(std::move(body), base::wall_now()), deadline,
+                             now, std::move(done)};
     pending.is_term_bound = true;
     m_local_proposals.push_back({tag, std::exchange(pending.command, {})});
     m_proposals.emplace(tag, std::move(pending));
--- a/src/daemon/task_control.cpp
+++ b/src/daemon/task_control.cpp
@@ -1,5 +1,6 @@
 #include "task_control.h"
 
+#include "lovagebeam/base/clock.h"
 #include "lovagebeam/telemetry/log.h"
 
 #include "job_convert.h"
@@ -18,12 +19,6 @@
 /// Also the bound on the transit time of a start command (scheduler_settings::start_transit).
 constexpr std::chrono::seconds worker_call_timeout{1};
 
-base::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 placement::scheduler_settings scheduler_settings()
 {
     placement::scheduler_settings result;
@@ -91,7 +86,7 @@
             return;
         }
         placement::recovered_job recovered;
-        recovered.spec = to_placement(job, now, wall_now());
+        recovered.spec = to_placement(job, now, base::wall_now());
         recovered.cancelled = job.cancel_requested;
         recovered.was_placed = false;
         std::uint32_t index = 0;
@@ -312,7 +307,7 @@
     }
     if (command.has_accept_job()) {
         if (const state::job* const job = m_log.state().find_job(result.job)) {
-            step(now, placement::job_accepted{to_placement(*job, now, wall_now())});
+            step(now, placement::job_accepted{to_placement(*job, now, base::wall_now())});
         }
     }
     else if (command.has_cancel_job()) {
--- a/src/peers/dialled_link.cpp
+++ b/src/peers/dialled_link.cpp
@@ -1,5 +1,6 @@
 #include "dialled_link.h"
 
+#include "lovagebeam/base/clock.h"
 #include "lovagebeam/base/errors.h"
 
 #include <boost/asio/post.hpp>
@@ -16,12 +17,6 @@
 
 constexpr unsigned unanswered_pings_until_silent = 2;
 
-base::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 } // namespace
 
 dialled_link::dialled_link(asio::io_context& io, std::shared_ptr<peer_record> record,
@@ -78,7 +73,7 @@
 void dialled_link::open_streams()
 {
     for (channel_stream& each : m_streams) {
-        const hello greeting = m_keys.make_hello(m_record->id(), wall_now());
+        const hello greeting = m_keys.make_hello(m_record->id(), base::wall_now());
         const std::string path = "/lovagebeam/peer/v1/" + std::string{name_of(each.which)};
         const std::array fields{
             make_field(":method", "POST"),
--- a/src/peers/network_core.cpp
+++ b/src/peers/network_core.cpp
@@ -1,5 +1,6 @@
 #include "network_core.h"
 
+#include "lovagebeam/base/clock.h"
 #include "lovagebeam/base/errors.h"
 
 #include <boost/asio/post.hpp>
@@ -27,12 +28,6 @@
     return address;
 }
 
-base::wall_time wall_now()
-{
-    return std::chrono::time_point_cast<std::chrono::milliseconds>(
-        std::chrono::system_clock::now());
-}
-
 tcp::endpoint endpoint_of(const peer_address& peer)
 {
     boost::system::error_code ec;
@@ -242,7 +237,7 @@
     if (link->remote().address() != address) {
         return make_error(error_code::unauthenticated, "the node's address is another one");
     }
-    const absl::Status status = m_keys.check(received, wall_now());
+    const absl::Status status = m_keys.check(received, base::wall_now());
     if (!status.ok()) {
         return status;
     }
