Keep the list of candidate workers up to date, and plan steps that can be in time first

Changed: candidate_list is updated with each change of a worker; the worker table reports changes of usability and scans only starts without an answer; advice requests sort only the workers that a call can name. Within a priority, steps that can still be in time go first, also in the queue of advice calls.

--- a/bench/jobs_bench/main.cpp
+++ b/bench/jobs_bench/main.cpp
@@ -216,7 +216,7 @@
         job.steps.push_back(step);
         proto::jobs::Batch batch;
         *batch.add_operations()->mutable_accept()->mutable_spec() = to_proto(job);
-        measure([&] { m_leader->on_submission(m_now, wall(), job); });
+        measure([&] { m_leader->on_submission(wall(), job); });
         commit(0, batch);
     }
 
--- a/include/lovagebeam/jobs/advice_scheduler.h
+++ b/include/lovagebeam/jobs/advice_scheduler.h
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace lovagebeam::jobs {
@@ -49,10 +50,16 @@
 
     void on_agent_contact(base::time_point now, const base::node_id& agent);
 
+    /// Priority, whether the step is late, and the end of the objective.
+    using call_rank = std::tuple<std::uint32_t, bool, std::int64_t>;
+
     /// Queues a call about `workers`, unless one about `step` is queued or open. Calls with a lower
     /// `rank` go first.
     void request(const step_key& step, const advice_policy& policy,
-                 std::vector<base::worker_id> workers, std::pair<std::uint32_t, std::int64_t> rank);
+                 std::vector<base::worker_id> workers, call_rank rank);
+
+    /// Changes the rank of the call about `step` if it is queued.
+    void change_rank(const step_key& step, call_rank rank);
 
     /// Ends the call `id`. Without rows it failed, and nothing is recorded about the workers.
     /// Returns the step, or nothing for an unknown call.
@@ -101,7 +108,7 @@
         std::uint64_t call = 0; ///< 0 while idle
         base::time_point paused_until;
     };
-    using queue_rank = std::pair<std::pair<std::uint32_t, std::int64_t>, std::uint64_t>;
+    using queue_rank = std::pair<call_rank, std::uint64_t>;
 
     agent_state* idle_agent(base::time_point now, bool is_long, const base::node_id*& name);
     void end_call(std::map<std::uint64_t, call>::iterator which);
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagebeam/jobs/advice_scheduler.h"
+#include "lovagebeam/jobs/candidate_list.h"
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
 #include "lovagebeam/jobs/worker_table.h"
@@ -15,7 +16,6 @@
 #include <set>
 #include <string>
 #include <tuple>
-#include <unordered_map>
 #include <vector>
 
 namespace lovagebeam::jobs {
@@ -84,7 +84,7 @@
     /// Records contact with an agent that makes advice calls.
     void on_agent_contact(base::time_point now, const base::node_id& agent);
     /// Requests advice on the first steps of a job while the job is being committed.
-    void on_submission(base::time_point now, base::wall_time wall, const job_spec& spec);
+    void on_submission(base::wall_time wall, const job_spec& spec);
     /// To be called after the ledger applied `batch`.
     void on_applied(base::time_point now, const proto::jobs::Batch& batch);
     void on_batch_committed(std::uint64_t id);
@@ -114,29 +114,29 @@
         bool is_gang = false;
         std::uint32_t priority = 0;
         base::wall_time due_by;     ///< when the job's objective ends
+        base::wall_time late_at;    ///< a start after this time is too late for the objective
         base::wall_time expires_at; ///< from then on the job earns nothing
         base::time_point not_before;
         base::time_point query_not_before; ///< for advice on workers that no call has named
         std::uint32_t refused_starts = 0;
+        bool is_late = false;
         bool is_expired = false;
     };
-    /// Order of planning: unexpired steps first, then by priority, then by the end of the
-    /// objective.
-    using plan_rank = std::tuple<bool, std::uint32_t, base::wall_time, step_key>;
-    struct candidate_worker {
-        const worker_info* info = nullptr;
-        size free;
-    };
+    /// Order of planning: unexpired steps first, then by priority, then those that can still be in
+    /// time, then by the end of the objective.
+    using plan_rank = std::tuple<bool, std::uint32_t, bool, base::wall_time, step_key>;
+    using candidate_worker = candidate_list::candidate;
     struct assignment {
         std::uint32_t index = 0;
         candidate_worker* worker = nullptr;
     };
     struct reservation {
         base::time_point until;
-        std::vector<std::pair<base::worker_id, size>> sizes;
+        std::vector<std::pair<candidate_worker*, size>> sizes;
     };
     struct planned_run {
         base::worker_id worker;
+        candidate_worker* candidate = nullptr;
         jobs::size size;
         std::string account;
     };
@@ -158,7 +158,7 @@
     void add_ready_steps(const job_record& job);
     void add_ready_step(const job_record& job, const step_key& key);
     void remove_ready_step(const step_key& key);
-    void demote_expired_steps(base::wall_time wall);
+    void demote_late_steps(base::wall_time wall);
     static plan_rank rank_of(const step_key& key, const ready_step& ready);
     void remove_job(const job_record& job);
     void on_placed(base::time_point now, const proto::jobs::PlaceTasks& operation);
@@ -168,14 +168,15 @@
     void stop_gang(base::time_point now, const job_record& job, const step_key& key);
     void stop_job(base::time_point now, const job_record& job);
     void send_start(base::time_point now, const run_key& run);
-    void collect_worker_output();
+    void collect_worker_output(base::time_point now);
     void add_due_steps(base::wall_time wall);
     proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
 
     // Planning.
     void plan(base::time_point now);
     [[nodiscard]] base::duration planning_interval() const;
-    void list_candidates(base::time_point now);
+    /// Updates the entry of a worker in the list of candidates.
+    void update_candidate(base::time_point now, const base::worker_id& id);
     /// Whether one task of the step may fit on some candidate, judging by processors only.
     [[nodiscard]] bool may_fit(const planned_step& step) const;
     /// Calls `visit` with each candidate that advice allows under `rule`, or with all of them for
@@ -204,7 +205,8 @@
                                        ready_step& ready);
     void request_advice_on_unknown_workers(const step_key& key, const job_spec& job,
                                            const std::string& pool, const advice_policy& policy,
-                                           base::wall_time due_by);
+                                           advice_scheduler::call_rank rank);
+    static advice_scheduler::call_rank call_rank_of(const ready_step& ready);
     void commit(const planned_step& step, const std::vector<assignment>& chosen);
     void remove_planned_run(const task_key& key);
     void reserve(base::time_point now, const planned_step& step,
@@ -226,22 +228,17 @@
     advice_scheduler m_advice;
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
-    std::set<plan_rank> m_order;                                  ///< of the ready steps
-    std::set<std::pair<base::wall_time, step_key>> m_expirations; ///< of unexpired ready steps
+    std::set<plan_rank> m_order; ///< of the ready steps
+    /// When ready steps become late and then expire.
+    std::set<std::pair<base::wall_time, step_key>> m_demotions;
     std::set<std::pair<base::wall_time, step_key>>
-        m_scheduled_steps;                        ///< of timed jobs, not due yet
-    std::map<task_key, planned_run> m_planned;    ///< decided, not yet committed
-    std::map<base::worker_id, size> m_planned_on; ///< including reservations
+        m_scheduled_steps;                     ///< of timed jobs, not due yet
+    std::map<task_key, planned_run> m_planned; ///< decided, not yet committed
     std::map<std::string, size> m_planned_by;
     std::map<step_key, reservation> m_reserved;
     std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
-    std::vector<candidate_worker> m_candidates;
-    std::unordered_map<base::worker_id, std::size_t> m_candidate_index;
-    std::map<std::string, std::int64_t> m_largest_free; ///< millicores on one worker of the pool
-    base::time_point m_listed_at;                       ///< when the candidates were listed
+    candidate_list m_candidates;
     base::time_point m_next_plan;
-    std::map<std::string, size> m_pool_free;
-    std::map<std::string, size> m_pool_capacity;
     proto::jobs::Batch m_batch;
     std::uint64_t m_last_batch = 0;
     std::vector<worker_table::cursor_move> m_cursors; ///< of the next batch
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -88,6 +88,8 @@
         std::vector<stop_order> stops;
         std::vector<end_report> ends;
         std::vector<cursor_move> cursors;
+        /// Workers for which the result of `is_usable` changed.
+        std::vector<base::worker_id> usability_changes;
         std::vector<decision_log_entry> log_entries;
     };
 
@@ -157,7 +159,7 @@
         std::uint64_t cursor = 0;          ///< ends up to this one are committed
         std::uint64_t last_listed_end = 0; ///< ends up to this one are reported
         bool is_hold_open = false;
-        base::time_point hold_due; ///< the open hold should be answered by then
+        base::time_point hold_due;   ///< the open hold should be answered by then
         base::time_point check_sent; ///< the last hold sent while another was open
         base::time_point next_hold;
         std::map<run_key, sent_start> starts;
@@ -171,6 +173,8 @@
         std::map<job_number, base::time_point> failed_jobs;
         std::uint32_t quarantines = 0;
         base::time_point quarantined_until;
+        bool was_usable = false;           ///< when it was last reported
+        std::size_t unanswered_starts = 0; ///< number of `starts` without an answer
     };
 
     entry* find(const base::worker_id& id);
@@ -185,6 +189,10 @@
     [[nodiscard]] bool is_doubted(const sent_start& start, base::time_point now) const;
     /// Whether a start is in doubt, so that the worker's lists should be read at once.
     [[nodiscard]] bool needs_check(const entry& worker, base::time_point now) const;
+    [[nodiscard]] bool is_usable(const entry& worker, base::time_point now) const;
+    void report_usability(entry& worker, base::time_point now);
+    static void mark_answered(entry& worker, sent_start& start, base::time_point now);
+    static void erase_start(entry& worker, const run_key& run);
     hold_order make_hold(entry& worker, base::time_point now);
     void send_hold(entry& worker, base::time_point now);
     void send_check(entry& worker, base::time_point now);
@@ -195,6 +203,8 @@
     void end_process_runs(entry& worker);
     void resolve_other_instance(entry& worker, base::time_point now, base::time_point sent,
                                 const run_key& run);
+    void read_hold(entry& worker, base::time_point now, base::time_point sent,
+                   const hold_order& order, hold_outcome outcome, const hold_answer& answer);
     void read_finished(entry& worker, base::time_point now, const hold_answer& answer);
     void read_running(entry& worker, base::time_point now, const hold_answer& answer);
     /// Ends the placements that the worker's lists lack and that can't begin any more.
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -83,7 +83,7 @@
                  },
                  [this](base::time_point now, const jobs::job_spec& spec) {
                      if (m_coordinator) {
-                         m_coordinator->on_submission(now, wall(now), spec);
+                         m_coordinator->on_submission(wall(now), spec);
                      }
                  },
                  [this](base::time_point now) { return wall(now); }}}
--- a/src/jobs/advice_scheduler.cpp
+++ b/src/jobs/advice_scheduler.cpp
@@ -12,8 +12,7 @@
 }
 
 void advice_scheduler::request(const step_key& step, const advice_policy& policy,
-                               std::vector<base::worker_id> workers,
-                               std::pair<std::uint32_t, std::int64_t> rank)
+                               std::vector<base::worker_id> workers, call_rank rank)
 {
     auto& known = m_steps[step];
     if (known.is_call_open || workers.empty()) {
@@ -33,6 +32,17 @@
     m_waiting.emplace(queue_rank{rank, ++m_last_id}, std::move(next));
 }
 
+void advice_scheduler::change_rank(const step_key& step, call_rank rank)
+{
+    const auto found = std::ranges::find_if(
+        m_waiting, [&](const auto& entry) { return entry.second.step == step; });
+    if (found != m_waiting.end()) {
+        auto queued = m_waiting.extract(found);
+        queued.key().first = rank;
+        m_waiting.insert(std::move(queued));
+    }
+}
+
 advice_scheduler::agent_state* advice_scheduler::idle_agent(base::time_point now, bool is_long,
                                                             const base::node_id*& name)
 {
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -17,9 +17,6 @@
     return static_cast<pb::EndKind>(static_cast<int>(kind) + 1);
 }
 
-/// Largest age of the candidate list that is used to request advice on a new job.
-constexpr milliseconds max_candidate_list_age{100};
-
 end_kind from_proto(pb::EndKind kind)
 {
     return static_cast<end_kind>(static_cast<int>(kind) - 1);
@@ -46,6 +43,9 @@
         }
         add_ready_steps(job);
     }
+    for (const auto& [id, info] : records.workers()) {
+        update_candidate(now, id);
+    }
     add_due_steps(wall);
 }
 
@@ -62,19 +62,17 @@
     m_advice.on_agent_contact(now, agent);
 }
 
-void coordinator::on_submission(base::time_point now, base::wall_time wall, const job_spec& spec)
+void coordinator::on_submission(base::wall_time wall, const job_spec& spec)
 {
     const auto* const policy = advice_for(spec);
     if (policy == nullptr || spec.occurrences != 0 || m_ledger.find(spec.id) != nullptr) {
         return;
     }
-    if (now - m_listed_at >= max_candidate_list_age) {
-        list_candidates(now);
-    }
     for (std::uint32_t step = 0; step < spec.steps.size(); ++step) {
         if (spec.steps[step].depends_on.empty()) {
-            request_advice_on_unknown_workers({spec.id, 0, step}, spec, pool_of(spec), *policy,
-                                              objective_end(spec, wall, 1));
+            request_advice_on_unknown_workers(
+                {spec.id, 0, step}, spec, pool_of(spec), *policy,
+                {spec.priority, false, objective_end(spec, wall, 1).time_since_epoch().count()});
         }
     }
 }
@@ -102,10 +100,7 @@
 void coordinator::on_hold_done(base::time_point now, base::time_point sent, const hold_order& order,
                                hold_outcome outcome, const hold_answer& answer)
 {
-    const auto& worker = order.to.worker;
-    const bool was_usable = m_workers.is_usable(now, worker);
     m_workers.on_hold_done(now, sent, order, outcome, answer);
-    m_needs_planning |= was_usable != m_workers.is_usable(now, worker);
 }
 
 void coordinator::on_advice(base::time_point now, std::uint64_t id,
@@ -163,6 +158,7 @@
     else {
         m_workers.on_worker(now, found->second);
     }
+    update_candidate(now, id);
 }
 
 void coordinator::on_batch_committed(std::uint64_t id)
@@ -206,16 +202,17 @@
     ready.is_gang = job.spec.steps[key.step].gang;
     ready.priority = job.spec.priority;
     ready.due_by = objective_end(job.spec, from, 1);
+    ready.late_at = ready.due_by - job.spec.steps[key.step].estimate;
     ready.expires_at = objective_end(job.spec, from, m_settings.planner.expiry_objectives);
     if (m_ready.emplace(key, ready).second) {
         m_order.insert(rank_of(key, ready));
-        m_expirations.emplace(ready.expires_at, key);
+        m_demotions.emplace(ready.late_at, key);
     }
 }
 
 coordinator::plan_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
 {
-    return {ready.is_expired, ready.priority, ready.due_by, key};
+    return {ready.is_expired, ready.priority, ready.is_late, ready.due_by, key};
 }
 
 void coordinator::remove_ready_step(const step_key& key)
@@ -223,20 +220,28 @@
     const auto found = m_ready.find(key);
     if (found != m_ready.end()) {
         m_order.erase(rank_of(key, found->second));
-        m_expirations.erase({found->second.expires_at, key});
+        m_demotions.erase(
+            {found->second.is_late ? found->second.expires_at : found->second.late_at, key});
         m_ready.erase(found);
     }
 }
 
-void coordinator::demote_expired_steps(base::wall_time wall)
+void coordinator::demote_late_steps(base::wall_time wall)
 {
-    while (!m_expirations.empty() && m_expirations.begin()->first <= wall) {
-        const auto key = m_expirations.begin()->second;
-        m_expirations.erase(m_expirations.begin());
+    while (!m_demotions.empty() && m_demotions.begin()->first <= wall) {
+        const auto key = m_demotions.begin()->second;
+        m_demotions.erase(m_demotions.begin());
         auto& ready = m_ready.at(key);
         m_order.erase(rank_of(key, ready));
-        ready.is_expired = true;
+        if (ready.is_late) {
+            ready.is_expired = true;
+        }
+        else {
+            ready.is_late = true;
+            m_demotions.emplace(ready.expires_at, key);
+        }
         m_order.insert(rank_of(key, ready));
+        m_advice.change_rank(key, call_rank_of(ready));
     }
 }
 
@@ -295,6 +300,7 @@
         remove_planned_run(run.task);
         const auto* const task = m_ledger.find(run.task);
         const auto* const job = m_ledger.find(run.task.job);
+        update_candidate(now, base::worker_id{placement.worker()});
         if (job == nullptr || is_final(job->state)) {
             continue;
         }
@@ -339,6 +345,7 @@
     const auto run = jobs::from_proto(operation.task());
     const base::worker_id worker{operation.worker()};
     m_workers.on_end_applied(run, worker);
+    update_candidate(now, worker);
     const auto* const job = m_ledger.find(run.task.job);
     if (job == nullptr) {
         return;
@@ -382,9 +389,13 @@
     }
 }
 
-void coordinator::collect_worker_output()
+void coordinator::collect_worker_output(base::time_point now)
 {
     auto output = m_workers.take();
+    for (const auto& worker : output.usability_changes) {
+        update_candidate(now, worker);
+        m_needs_planning = true;
+    }
     for (auto& end : output.ends) {
         auto& operation = *add_operation().mutable_end();
         *operation.mutable_task() = jobs::to_proto(end.run);
@@ -403,7 +414,7 @@
 {
     m_workers.tick(now);
     add_due_steps(wall);
-    demote_expired_steps(wall);
+    demote_late_steps(wall);
     std::vector<step_key> expired;
     for (const auto& [key, reserved] : m_reserved) {
         if (reserved.until <= now) {
@@ -434,7 +445,7 @@
 
 coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
 {
-    collect_worker_output();
+    collect_worker_output(now);
     if (m_needs_planning && now >= m_next_plan) {
         m_needs_planning = false;
         m_next_plan = now + planning_interval();
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -62,29 +62,12 @@
     return from + milliseconds{static_cast<std::int64_t>(objective * objectives)};
 }
 
-void coordinator::list_candidates(base::time_point now)
+void coordinator::update_candidate(base::time_point now, const base::worker_id& id)
 {
-    m_listed_at = now;
-    m_candidates.clear();
-    m_candidate_index.clear();
-    m_largest_free.clear();
-    m_pool_free.clear();
-    m_pool_capacity.clear();
-    for (const auto& [id, info] : m_ledger.workers()) {
-        if (!m_workers.is_usable(now, id)) {
-            continue;
-        }
-        auto free = info.capacity - m_ledger.used_on(id);
-        if (const auto planned = m_planned_on.find(id); planned != m_planned_on.end()) {
-            free -= planned->second;
-        }
-        m_candidate_index.emplace(id, m_candidates.size());
-        m_candidates.push_back({&info, free});
-        auto& largest = m_largest_free[info.pool];
-        largest = std::max(largest, free.millicores);
-        m_pool_free[info.pool] += free;
-        m_pool_capacity[info.pool] += info.capacity;
-    }
+    const auto found = m_ledger.workers().find(id);
+    const bool is_known = found != m_ledger.workers().end();
+    m_candidates.update(id, is_known ? &found->second : nullptr, m_ledger.used_on(id),
+                        is_known && m_workers.is_usable(now, id));
 }
 
 void coordinator::plan(base::time_point now)
@@ -92,17 +75,18 @@
     if (m_ready.empty() || !m_catalog) {
         return;
     }
-    list_candidates(now);
+    m_candidates.begin_pass();
     std::uint32_t unplaceable = 0;
     std::optional<std::pair<bool, std::uint32_t>> level;
     for (auto entry = m_order.begin(); entry != m_order.end();) {
-        const auto& [is_expired, priority, due_by, key] = *entry;
+        const auto is_expired = std::get<0>(*entry);
+        const auto priority = std::get<1>(*entry);
         if (level != std::pair{is_expired, priority}) {
             level = {is_expired, priority};
             unplaceable = 0;
         }
         if (unplaceable >= m_settings.planner.max_unplaceable_per_priority) {
-            entry = m_order.lower_bound({is_expired, priority + 1, {}, {}});
+            entry = m_order.lower_bound({is_expired, priority + 1, false, {}, {}});
             continue;
         }
         // Planning may remove the step.
@@ -174,8 +158,8 @@
 
 bool coordinator::may_fit(const planned_step& step) const
 {
-    const auto largest = m_largest_free.find(step.pool);
-    return largest != m_largest_free.end() && booked_size(step.spec).millicores <= largest->second;
+    const auto* const total = m_candidates.pool(step.pool);
+    return total != nullptr && booked_size(step.spec).millicores <= total->largest_free;
 }
 
 template <class Visit>
@@ -183,8 +167,10 @@
                                    Visit visit)
 {
     if (advice_for(step.job.spec) == nullptr) {
-        for (auto& one : m_candidates) {
-            visit(one);
+        for (auto& one : m_candidates.all()) {
+            if (one.is_usable) {
+                visit(one);
+            }
         }
         return;
     }
@@ -196,8 +182,8 @@
         if (rule == ticket_rule::valid && !m_advice.is_valid(now, ticket)) {
             continue;
         }
-        if (const auto found = m_candidate_index.find(worker); found != m_candidate_index.end()) {
-            visit(m_candidates[found->second]);
+        if (auto* const found = m_candidates.find_usable(worker)) {
+            visit(*found);
         }
     }
 }
@@ -207,12 +193,10 @@
     if (step.job.spec.priority == 0) {
         return true;
     }
-    const auto free = m_pool_free.find(step.pool);
-    const auto capacity = m_pool_capacity.find(step.pool);
-    return free != m_pool_free.end() &&
-           static_cast<double>(free->second.millicores - more.millicores) >=
-               m_settings.planner.urgent_headroom *
-                   static_cast<double>(capacity->second.millicores);
+    const auto* const total = m_candidates.pool(step.pool);
+    return total != nullptr &&
+           static_cast<double>(total->free.millicores - more.millicores) >=
+               m_settings.planner.urgent_headroom * static_cast<double>(total->capacity.millicores);
 }
 
 bool coordinator::is_within_limit(const std::string& account, const size& more) const
@@ -247,8 +231,8 @@
 coordinator::assign_in_one_rack(base::time_point now, const planned_step& step, ticket_rule rule)
 {
     std::map<std::string, std::int64_t> free;
-    for (const auto& candidate : m_candidates) {
-        if (candidate.info->pool == step.pool) {
+    for (const auto& candidate : m_candidates.all()) {
+        if (candidate.is_usable && candidate.info->pool == step.pool) {
             free[candidate.info->rack] += candidate.free.millicores;
         }
     }
@@ -378,17 +362,16 @@
         *placement.mutable_task() = jobs::to_proto(run_key{key, number});
         placement.set_worker(one.worker->info->id.str());
         placement.set_born_ms(one.worker->info->started_at.time_since_epoch().count());
-        one.worker->free -= booked;
-        m_pool_free[step.pool] -= booked;
-        m_planned_on[one.worker->info->id] += booked;
+        m_candidates.book(*one.worker, booked);
         m_planned_by[step.job.spec.account] += booked;
-        m_planned.emplace(key, planned_run{one.worker->info->id, booked, step.job.spec.account});
+        m_planned.emplace(
+            key, planned_run{one.worker->info->id, one.worker, booked, step.job.spec.account});
     }
     m_out.log_entries.push_back(
         {"tasks_placed", step.key.job,
          absl::StrCat("step=", step.key.step, " tasks=", chosen.size(),
                       " first_worker=", chosen.front().worker->info->id.str(),
-                      " free_millicores=", m_pool_free[step.pool].millicores)});
+                      " free_millicores=", m_candidates.pool(step.pool)->free.millicores)});
 }
 
 void coordinator::remove_planned_run(const task_key& key)
@@ -397,7 +380,7 @@
     if (found == m_planned.end()) {
         return;
     }
-    m_planned_on[found->second.worker] -= found->second.size;
+    m_candidates.release(*found->second.candidate, found->second.size);
     m_planned_by[found->second.account] -= found->second.size;
     m_planned.erase(found);
 }
--- a/src/jobs/planning_advice.cpp
+++ b/src/jobs/planning_advice.cpp
@@ -3,8 +3,9 @@
 #include "labels.h"
 
 #include <algorithm>
-#include <functional>
+#include <limits>
 #include <set>
+#include <tuple>
 #include <utility>
 
 // Reservations and advice requests of a planning pass.
@@ -18,10 +19,8 @@
     reservation made;
     made.until = now + m_settings.planner.reservation;
     for (const auto& one : chosen) {
-        made.sizes.emplace_back(one.worker->info->id, booked);
-        m_planned_on[one.worker->info->id] += booked;
-        one.worker->free -= booked;
-        m_pool_free[step.pool] -= booked;
+        made.sizes.emplace_back(one.worker, booked);
+        m_candidates.book(*one.worker, booked);
     }
     m_reserved.emplace(step.key, std::move(made));
 }
@@ -33,13 +32,7 @@
         return;
     }
     for (const auto& [worker, booked] : found->second.sizes) {
-        m_planned_on[worker] -= booked;
-        const auto candidate = std::ranges::find(m_candidates, worker,
-                                                 [](const auto& entry) { return entry.info->id; });
-        if (candidate != m_candidates.end()) {
-            candidate->free += booked;
-            m_pool_free[candidate->info->pool] += booked;
-        }
+        m_candidates.release(*worker, booked);
     }
     m_reserved.erase(found);
 }
@@ -63,7 +56,7 @@
         if (now >= ready.query_not_before) {
             ready.query_not_before = now + m_settings.planner.advice_query_interval;
             request_advice_on_unknown_workers(step.key, step.job.spec, step.pool, policy,
-                                              ready.due_by);
+                                              call_rank_of(ready));
         }
         return m_advice.is_first_call_open(step.key) ? advice_wait::open : advice_wait::none;
     }
@@ -71,21 +64,30 @@
     for (const auto& one : wanted) {
         renewed.insert(one.worker->info->id);
     }
-    m_advice.request(step.key, policy, {renewed.begin(), renewed.end()},
-                     {step.job.spec.priority, ready.due_by.time_since_epoch().count()});
+    m_advice.request(step.key, policy, {renewed.begin(), renewed.end()}, call_rank_of(ready));
     reserve(now, step, wanted);
     return advice_wait::open;
 }
 
+advice_scheduler::call_rank coordinator::call_rank_of(const ready_step& ready)
+{
+    const auto priority =
+        ready.is_expired ? std::numeric_limits<std::uint32_t>::max() : ready.priority;
+    return {priority, ready.is_late, ready.due_by.time_since_epoch().count()};
+}
+
 void coordinator::request_advice_on_unknown_workers(const step_key& key, const job_spec& job,
                                                     const std::string& pool,
                                                     const advice_policy& policy,
-                                                    base::wall_time due_by)
+                                                    advice_scheduler::call_rank rank)
 {
     const auto* const known = m_advice.find(key);
     const auto& step = job.steps[key.step];
     std::vector<const candidate_worker*> unknown;
-    for (const auto& candidate : m_candidates) {
+    for (const auto& candidate : m_candidates.all()) {
+        if (!candidate.is_usable) {
+            continue;
+        }
         const auto& info = *candidate.info;
         if (info.pool == pool && has_label(info, step.required_label) &&
             step.size.fits_in(info.capacity) &&
@@ -94,15 +96,19 @@
             unknown.push_back(&candidate);
         }
     }
-    std::ranges::stable_sort(unknown, std::greater{},
-                             [](const candidate_worker* one) { return one->free.millicores; });
+    // Only the freest workers that one call can name are put in order.
+    const auto named = std::min(unknown.size(), m_settings.advice.workers_per_call);
+    const auto end = unknown.begin() + static_cast<std::ptrdiff_t>(named);
+    std::partial_sort(unknown.begin(), end, unknown.end(),
+                      [](const candidate_worker* left, const candidate_worker* right) {
+                          return std::tie(right->free.millicores, left->info->id) <
+                                 std::tie(left->free.millicores, right->info->id);
+                      });
     std::vector<base::worker_id> workers;
-    workers.reserve(unknown.size());
-    for (const auto* one : unknown) {
-        workers.push_back(one->info->id);
-    }
-    m_advice.request(key, policy, std::move(workers),
-                     {job.priority, due_by.time_since_epoch().count()});
+    workers.reserve(named);
+    std::for_each(unknown.begin(), end,
+                  [&](const candidate_worker* one) { workers.push_back(one->info->id); });
+    m_advice.request(key, policy, std::move(workers), rank);
 }
 
 } // namespace lovagebeam::jobs
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -17,46 +17,53 @@
     if (worker == nullptr || worker->info.started_at != order.to.started_at) {
         return;
     }
+    read_hold(*worker, now, sent, order, outcome, answer);
+    report_usability(*worker, now);
+}
+
+void worker_table::read_hold(entry& worker, base::time_point now, base::time_point sent,
+                             const hold_order& order, hold_outcome outcome,
+                             const hold_answer& answer)
+{
     if (order.is_check && outcome != hold_outcome::answered && outcome != hold_outcome::gone) {
         return;
     }
-    worker->is_hold_open = order.is_check && worker->is_hold_open;
+    worker.is_hold_open = order.is_check && worker.is_hold_open;
     if (outcome == hold_outcome::gone) {
-        end_placements(*worker, end_kind::lost);
-        worker->is_removed = true;
-        worker->is_fenced = false;
-        worker->next_hold = now + m_settings.max_lease;
+        end_placements(worker, end_kind::lost);
+        worker.is_removed = true;
+        worker.is_fenced = false;
+        worker.next_hold = now + m_settings.max_lease;
         return;
     }
     if (outcome != hold_outcome::answered) {
-        worker->has_missed_hold = true;
-        worker->next_hold = now + m_settings.hold_retry;
-        worker->refused_connections =
-            outcome == hold_outcome::refused ? worker->refused_connections + 1 : 0;
-        if (worker->refused_connections == m_settings.max_refused_connections) {
-            end_process_runs(*worker);
+        worker.has_missed_hold = true;
+        worker.next_hold = now + m_settings.hold_retry;
+        worker.refused_connections =
+            outcome == hold_outcome::refused ? worker.refused_connections + 1 : 0;
+        if (worker.refused_connections == m_settings.max_refused_connections) {
+            end_process_runs(worker);
         }
         return;
     }
-    if (answer.started_at != worker->info.started_at) {
-        worker_info restarted = worker->info;
+    if (answer.started_at != worker.info.started_at) {
+        worker_info restarted = worker.info;
         restarted.started_at = answer.started_at;
         on_worker(now, restarted);
         return;
     }
-    worker->is_fenced = true;
-    worker->has_missed_hold = false;
-    worker->refused_connections = 0;
-    worker->unanswered_since.reset();
-    worker->last_contact = now;
-    worker->clock = answer.clock;
-    worker->clock_read = now;
-    read_finished(*worker, now, answer);
-    read_running(*worker, now, answer);
-    resolve_placements(*worker, now, sent, answer);
-    worker->next_hold = worker->last_listed_end > worker->cursor
-                            ? now + m_settings.end_commit_timeout
-                            : base::time_point{};
+    worker.is_fenced = true;
+    worker.has_missed_hold = false;
+    worker.refused_connections = 0;
+    worker.unanswered_since.reset();
+    worker.last_contact = now;
+    worker.clock = answer.clock;
+    worker.clock_read = now;
+    read_finished(worker, now, answer);
+    read_running(worker, now, answer);
+    resolve_placements(worker, now, sent, answer);
+    worker.next_hold = worker.last_listed_end > worker.cursor ? now + m_settings.end_commit_timeout
+                                                              : base::time_point{};
 }
 
 // Runs of the worker's process ended with it. A start that may still be in transit, including one
@@ -172,7 +179,7 @@
         const auto start = worker.starts.find(run);
         if (worker.running.contains(run) || worker.reported_ends.contains(run)) {
             if (start != worker.starts.end() && !start->second.answered_at) {
-                start->second.answered_at = now;
+                mark_answered(worker, start->second, now);
             }
             continue;
         }
@@ -252,14 +259,14 @@
 void worker_table::tick(base::time_point now)
 {
     std::vector<base::worker_id> forgotten;
-    m_unresponsive_workers = 0;
+    m_unresponsive_workers = static_cast<std::size_t>(std::ranges::count_if(
+        m_workers, [&](const auto& each) { return is_unresponsive(each.second, now); }));
     for (auto& [id, worker] : m_workers) {
-        m_unresponsive_workers += is_unresponsive(worker, now) ? 1 : 0;
-        const bool has_placements = !m_ledger.placed_on(id).empty();
-        if (now >= worker.lease_end && has_placements) {
+        report_usability(worker, now);
+        if (now >= worker.lease_end) {
             end_placements(worker, end_kind::lapsed);
         }
-        if (worker.is_removed && !has_placements) {
+        if (worker.is_removed && m_ledger.placed_on(id).empty()) {
             forgotten.push_back(id);
         }
         else if (!worker.is_hold_open && now >= worker.next_hold && worker.info.port != 0) {
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -91,6 +91,7 @@
     entry fresh;
     fresh.info = info;
     fresh.quarantines = worker.quarantines;
+    fresh.was_usable = worker.was_usable;
     fresh.earlier_starts = std::move(worker.earlier_starts);
     for (const auto& [run, start] : worker.starts) {
         // A start that was answered but never listed may have been carried out by the new instance.
@@ -195,10 +196,11 @@
     }
     const auto clock = clock_now(worker, now);
     return is_unresponsive(worker, now) || now >= worker.hold_due ||
-           std::ranges::any_of(worker.starts, [&](const auto& start) {
-               return !start.second.answered_at &&
-                      (clock > start.second.deadline || is_doubted(start.second, now));
-           });
+           (worker.unanswered_starts > 0 &&
+            std::ranges::any_of(worker.starts, [&](const auto& start) {
+                return !start.second.answered_at &&
+                       (clock > start.second.deadline || is_doubted(start.second, now));
+            }));
 }
 
 base::duration worker_table::start_doubt() const
@@ -245,7 +247,9 @@
     }
     const auto deadline =
         clock_now(*worker, now) + std::chrono::duration_cast<worker_time>(m_settings.start_window);
+    erase_start(*worker, run);
     worker->starts[run] = {deadline, now, std::nullopt, std::nullopt};
+    ++worker->unanswered_starts;
     if (!worker->unanswered_since) {
         worker->unanswered_since = now;
     }
@@ -268,7 +272,7 @@
         worker->unanswered_since.reset();
     }
     if (outcome == start_outcome::started) {
-        found->second.answered_at = now;
+        mark_answered(*worker, found->second, now);
         m_mean_start_time += (now - found->second.sent_at - m_mean_start_time) / mean_weight;
         return;
     }
@@ -278,7 +282,7 @@
     if (outcome == start_outcome::unknown) {
         return;
     }
-    worker->starts.erase(found);
+    erase_start(*worker, run);
     report(*worker, run, end_kind::not_started);
 }
 
@@ -314,7 +318,7 @@
 {
     if (auto* const worker = find(id)) {
         worker->reported_ends.erase(run);
-        worker->starts.erase(run);
+        erase_start(*worker, run);
         worker->earlier_starts.erase(run);
         worker->progress_by_run.erase(run);
     }
@@ -343,15 +347,45 @@
 bool worker_table::is_usable(base::time_point now, const base::worker_id& id) const
 {
     const auto* const worker = find(id);
-    return worker != nullptr && !worker->is_removed && !worker->info.draining &&
-           worker->is_fenced && !worker->has_missed_hold && worker->last_contact &&
-           now - *worker->last_contact < m_settings.contact_timeout &&
-           worker->quarantined_until <= now &&
-           (!is_unresponsive(*worker, now) ||
+    return worker != nullptr && is_usable(*worker, now);
+}
+
+bool worker_table::is_usable(const entry& worker, base::time_point now) const
+{
+    return !worker.is_removed && !worker.info.draining && worker.is_fenced &&
+           !worker.has_missed_hold && worker.last_contact &&
+           now - *worker.last_contact < m_settings.contact_timeout &&
+           worker.quarantined_until <= now &&
+           (!is_unresponsive(worker, now) ||
             static_cast<double>(m_unresponsive_workers) >
                 m_settings.max_unresponsive_fraction * static_cast<double>(m_workers.size()));
 }
 
+void worker_table::report_usability(entry& worker, base::time_point now)
+{
+    if (worker.was_usable != is_usable(worker, now)) {
+        worker.was_usable = !worker.was_usable;
+        m_out.usability_changes.push_back(worker.info.id);
+    }
+}
+
+void worker_table::mark_answered(entry& worker, sent_start& start, base::time_point now)
+{
+    if (!start.answered_at) {
+        --worker.unanswered_starts;
+    }
+    start.answered_at = now;
+}
+
+void worker_table::erase_start(entry& worker, const run_key& run)
+{
+    const auto found = worker.starts.find(run);
+    if (found != worker.starts.end()) {
+        worker.unanswered_starts -= found->second.answered_at ? 0 : 1;
+        worker.starts.erase(found);
+    }
+}
+
 bool worker_table::is_quarantined(base::time_point now, const base::worker_id& id) const
 {
     const auto* const worker = find(id);
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -150,6 +150,7 @@
     ++m_generation;
     ++m_term;
     coordinator_settings chosen;
+    leading_since = now;
     leader = std::make_unique<coordinator>(chosen, records, fencing_token{m_term}, now, wall());
     leader->on_catalog(config);
     for (int agent = 0; agent < 4; ++agent) {
@@ -168,7 +169,7 @@
 void sim_cell::submit(const job_spec& spec)
 {
     if (leader) {
-        leader->on_submission(now, wall(), spec);
+        leader->on_submission(wall(), spec);
     }
     proto::jobs::Batch batch;
     auto& operation = *batch.add_operations()->mutable_accept();
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -74,6 +74,7 @@
     sim_settings settings;
     ledger records;
     std::unique_ptr<coordinator> leader;
+    base::time_point leading_since; ///< start of the present leader
     std::map<base::worker_id, sim_worker> workers;
     std::vector<std::string> violations;
     std::uint64_t starts = 0;
