Don't check on workers whose hold is overdue

Cause: also read the lists of a worker whose open hold was overdue, every 150 ms. When the leader is late, the holds of all 1,100 workers are overdue at once, which adds 7,300 calls a second to the overload.

--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -159,7 +159,6 @@
         std::uint64_t cursor = 0;          ///< ends up to this one are committed
         std::uint64_t last_listed_end = 0; ///< ends up to this one are reported
         bool is_hold_open = false;
-        base::time_point hold_due;   ///< the open hold should be answered by then
         base::time_point check_sent; ///< the last hold sent while another was open
         base::time_point next_hold;
         std::map<run_key, sent_start> starts;
@@ -184,7 +183,7 @@
     void extend_lease(entry& worker, worker_time deadline);
     /// Whether the worker has left a start unanswered for too long.
     [[nodiscard]] bool is_unresponsive(const entry& worker, base::time_point now) const;
-    /// How long an order may stay unanswered before it is doubted.
+    /// How long a start may stay unanswered before it is doubted.
     [[nodiscard]] base::duration start_doubt() const;
     [[nodiscard]] bool is_doubted(const sent_start& start, base::time_point now) const;
     /// Whether a start is in doubt, so that the worker's lists should be read at once.
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -167,7 +167,6 @@
         worker.is_fenced && !worker.has_missed_hold && worker.last_listed_end == worker.cursor;
     order.wait = may_wait ? m_settings.hold_wait : milliseconds{0};
     worker.is_hold_open = true;
-    worker.hold_due = now + order.wait + start_doubt();
     m_out.holds.push_back(std::move(order));
 }
 
@@ -195,7 +194,7 @@
         return false;
     }
     const auto clock = clock_now(worker, now);
-    return is_unresponsive(worker, now) || now >= worker.hold_due ||
+    return is_unresponsive(worker, now) ||
            (worker.unanswered_starts > 0 &&
             std::ranges::any_of(worker.starts, [&](const auto& start) {
                 return !start.second.answered_at &&
