Name the burst test after what it checks

Cause: it was called '..._are_in_time', but its check allows 570 ms until the start and the longest run of 1,280 ms, which is longer than the objective of 1,210 ms. Changed: the name of the test, of a variable and a comment.

--- a/tests/jobs/load_test.cpp
+++ b/tests/jobs/load_test.cpp
@@ -25,7 +25,7 @@
 class load_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(load_test);
     CPPUNIT_TEST(burst_beyond_capacity_later_lookups_are_in_time);
-    CPPUNIT_TEST(burst_just_ended_fresh_lookups_are_in_time);
+    CPPUNIT_TEST(burst_just_ended_fresh_lookups_end_soon);
     CPPUNIT_TEST(wide_gang_among_lookups_is_placed);
     CPPUNIT_TEST(worker_partitioned_receives_few_lookups);
     CPPUNIT_TEST(all_starts_slow_lookups_still_start);
@@ -62,7 +62,7 @@
     // A burst of lookups at three times the fleet's capacity, then ordinary load at once, as after
     // an outage. Guards against serving the lookups of the burst, which are late already, before
     // those that can still be in time.
-    void burst_just_ended_fresh_lookups_are_in_time()
+    void burst_just_ended_fresh_lookups_end_soon()
     {
         sim_cell cell{8, {.workers = 4}};
         std::uint64_t next = 1;
@@ -70,16 +70,16 @@
         const auto first_later = next;
         submit_lookups(cell, next, 20, 4s);
         cell.run_for(3s);
-        int started = 0;
+        int ended_soon = 0;
         for (auto id = first_later; id < next; ++id) {
             const auto& job = *cell.records.find(job_number{id});
             const bool is_done = job.state == job_state::completed;
-            // Its objective ends 1,210 ms after it was accepted; a run takes up to 1,280 ms.
-            started += is_done && job.ended - job.accepted <= 570ms + 1'280ms ? 1 : 0;
+            // The latest start that is in time for a run of 640 ms, and the longest run.
+            ended_soon += is_done && job.ended - job.accepted <= 570ms + 1'280ms ? 1 : 0;
         }
         const auto all = static_cast<int>(next - first_later);
-        CPPUNIT_ASSERT_MESSAGE(std::to_string(started) + " of " + std::to_string(all),
-                               started * 10 >= all * 8);
+        CPPUNIT_ASSERT_MESSAGE(std::to_string(ended_soon) + " of " + std::to_string(all),
+                               ended_soon * 10 >= all * 8);
         cell.run_for(20s);
         CPPUNIT_ASSERT(cell.all_jobs_ended());
     }
