Go on logging after a failed write to the standard output

Cause: the log was written through std::cout. A write that the reader's pipe takes only in part or refuses marks the stream as failed, and the stream refuses all output from then on, without a word. Change: descriptor_backend, a sink of Boost.Log that writes to the descriptor itself.

--- a/src/telemetry/log.cpp
+++ b/src/telemetry/log.cpp
@@ -2,10 +2,10 @@
 
 #include "lovagebeam/telemetry/log_budget.h"
 
-#include <boost/core/null_deleter.hpp>
+#include "descriptor_backend.h"
+
 #include <boost/log/core.hpp>
 #include <boost/log/sinks/sync_frontend.hpp>
-#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/global_logger_storage.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
@@ -17,10 +17,13 @@
 #include <chrono>
 #include <condition_variable>
 #include <ctime>
-#include <iostream>
 #include <memory>
 #include <mutex>
+#include <optional>
+#include <string>
+#include <system_error>
 #include <thread>
+#include <unistd.h>
 #include <utility>
 
 namespace lovagebeam::telemetry {
@@ -52,7 +55,7 @@
     return std::ranges::find(severity_table, level, &severity_entry::level)->name;
 }
 
-using sink_type = logging::sinks::synchronous_sink<logging::sinks::text_ostream_backend>;
+using sink_type = logging::sinks::synchronous_sink<descriptor_backend>;
 
 boost::shared_ptr<sink_type>& sink()
 {
@@ -173,6 +176,11 @@
             }
         }
         const bool was_empty = m_lines.empty();
+        if (const auto loss = std::exchange(m_loss, std::nullopt)) {
+            append(severity::error,
+                   "event=log_write_failed bytes=" + std::to_string(loss->bytes) +
+                       " error=" + quoted(std::generic_category().message(loss->error)));
+        }
         append(level, text);
         if (was_empty) {
             m_changed.notify_one();
@@ -199,10 +207,15 @@
             }
             const std::string lines = std::exchange(m_lines, {});
             lock.unlock();
+            std::optional<descriptor_backend::loss> loss;
             if (!lines.empty()) {
                 BOOST_LOG(logger()) << lines;
+                loss = sink()->locked_backend()->take_loss();
             }
             lock.lock();
+            if (loss) {
+                m_loss = loss;
+            }
         }
     }
 
@@ -211,6 +224,7 @@
     std::string m_lines;
     log_budget m_budget{log_limits{}};
     std::uint64_t m_dropped = 0;
+    std::optional<descriptor_backend::loss> m_loss; ///< not reported yet
     base::time_point m_last_dropped_report;
     time_formatter m_time;
     bool m_is_stopping = false;
@@ -234,11 +248,8 @@
 void start_logging(severity lowest, std::string_view node, log_stream stream)
 {
     node_name() = node;
-    auto backend = boost::make_shared<logging::sinks::text_ostream_backend>();
-    std::ostream& out = stream == log_stream::output ? std::cout : std::cerr;
-    backend->add_stream(boost::shared_ptr<std::ostream>{&out, boost::null_deleter{}});
-    backend->auto_flush(true);
-    sink() = boost::make_shared<sink_type>(backend);
+    sink() = boost::make_shared<sink_type>(boost::make_shared<descriptor_backend>(
+        stream == log_stream::output ? STDOUT_FILENO : STDERR_FILENO));
     logging::core::get()->add_sink(sink());
     lowest_severity() = lowest;
     writer() = std::make_unique<line_writer>();
