Log once a second where a leader's time goes, and which calls to it get no answer

Change: leader_load on the leader (processor time, batches, decisions, commits, calls and how many were sent before, waits, connections, relays) and leader_calls on entry processes. A call carries the number of its attempt and the time that its sender waits. Decisions are unchanged.

--- a/src/controlplane/core_calls.cpp
+++ b/src/controlplane/core_calls.cpp
@@ -73,6 +73,10 @@
         return;
     }
     const auto waited = std::chrono::steady_clock::now() - request.received_at;
+    m_load.on_call(call.attempt(), waited);
+    if (call.remaining_ms() > 0 && waited >= std::chrono::milliseconds{call.remaining_ms()}) {
+        m_load.on_expired_call();
+    }
     m_callers.handle(now, waited, m_catalog.get(), call,
                      [this, reply](const pb::CallerAnswer& answer) {
                          if (answer.status() >= first_error_status) {
@@ -99,6 +103,7 @@
     }
     answer.set_catalog_version(records().catalog_version());
     if (is_leader) {
+        m_load.on_sync();
         m_coordinator->on_agent_contact(now, base::node_id{request.entry()});
         if (request.wall_ms() != 0) {
             m_clock.on_reading(now, request.entry(),
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -233,6 +233,19 @@
         m_last_metrics_update = now;
         m_core_metrics.update(records(), m_coordinator.get(), now);
     }
+    if (m_load.is_due(now)) {
+        write_load_report(now);
+    }
+}
+
+void core_host_implementation::write_load_report(base::time_point now)
+{
+    load_report::levels current;
+    current.waiting_steps = m_coordinator ? m_coordinator->ready_step_count() : 0;
+    current.relayed_orders = m_worker_port.pending_count();
+    current.suspended_relays = m_worker_port.suspended_count();
+    current.server = m_server->counters();
+    m_load.write(now, m_coordinator != nullptr, current);
 }
 
 base::wall_time core_host_implementation::wall(base::time_point now)
@@ -281,7 +294,9 @@
     // Without a valid lease another leader may already be giving orders.
     if (m_coordinator && m_log.is_established_leader(now)) {
         execute_decisions(now);
+        m_load.on_decisions(base::boot_time() - now);
     }
+    m_load.on_batch(now);
     m_log.flush(now);
     if (now - m_last_relay_flush >= relay_interval) {
         m_last_relay_flush = now;
@@ -401,6 +416,7 @@
                                     return;
                                 }
                                 m_core_metrics.on_commit(base::boot_time() - now);
+                                m_load.on_commit(base::boot_time() - now);
                                 if (result.ok() && result->status.ok()) {
                                     m_coordinator->on_batch_committed(id);
                                     return;
--- a/src/controlplane/core_host_implementation.h
+++ b/src/controlplane/core_host_implementation.h
@@ -11,6 +11,7 @@
 #include "core_metrics.h"
 #include "decision_loop.h"
 #include "fleet_clock.h"
+#include "load_report.h"
 #include "log_storage.h"
 #include "peer_links.h"
 #include "replication.h"
@@ -73,6 +74,7 @@
     void handle_catalog(base::time_point now, const std::string& document,
                         const control_done& done);
     void load_catalog();
+    void write_load_report(base::time_point now);
     /// The time of day that decisions use.
     [[nodiscard]] base::wall_time wall(base::time_point now);
     void update_relays();
@@ -92,6 +94,7 @@
     const document_codec& m_codec;
     telemetry::metrics_registry& m_metrics;
     core_metrics m_core_metrics;
+    load_report m_load;
     base::time_point m_last_metrics_update;
     base::time_point m_last_relay_update;
     base::time_point m_last_relay_flush;
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -40,6 +40,7 @@
 constexpr unsigned status_bad_request = 400;
 /// Longer than an election. A longer wait for a leader would only delay the caller's retry.
 constexpr std::chrono::milliseconds leaderless_timeout{900};
+constexpr std::chrono::seconds report_interval{1};
 /// Subtracted from the caller's deadline, so that the final answer reaches the caller in time.
 constexpr std::chrono::milliseconds answer_margin{60};
 
@@ -69,6 +70,28 @@
         query_other_core(now);
     }
     send_waiting(now);
+    if (now - m_last_report >= report_interval) {
+        write_report(now);
+    }
+}
+
+void leader_link::write_report(base::time_point now)
+{
+    m_last_report = now;
+    const auto last = std::exchange(m_counts, {});
+    if (last.resent + last.unanswered + last.unreached + last.syncs_unanswered == 0) {
+        return;
+    }
+    log_event{severity::info, "leader_calls"}
+        .with("leader", m_leader)
+        .with("sent", last.sent)
+        .with("resent", last.resent)
+        .with("unanswered", last.unanswered)
+        .with("unreached", last.unreached)
+        .with("given_up", last.given_up)
+        .with("syncs_unanswered", last.syncs_unanswered)
+        .with("waiting", m_waiting.size())
+        .write();
 }
 
 bool leader_link::is_leader_late(base::time_point now) const
@@ -118,6 +141,7 @@
 {
     --m_pending_syncs;
     if (!answer) {
+        ++m_counts.syncs_unanswered;
         if (queried == m_leader && ++m_unanswered_syncs >= max_unanswered_syncs) {
             set_leader(now, {}, "no answer");
         }
@@ -197,7 +221,10 @@
         give_up(call);
         return;
     }
-    ++call->attempts;
+    call->call.set_attempt(++call->attempts);
+    ++m_counts.sent;
+    m_counts.resent += call->attempts > 1 ? 1 : 0;
+    call->call.set_remaining_ms(std::min(remaining, attempt_timeout).count());
     post_message<pb::CallerAnswer>(
         m_client, m_leader, core_port(m_settings), caller_path, call->call,
         std::min(remaining, attempt_timeout),
@@ -228,6 +255,8 @@
     }
     call->may_have_run |= answer ? answer->in_doubt() : maybe_sent;
     const bool is_unreached = !answer && !maybe_sent;
+    m_counts.unreached += is_unreached ? 1 : 0;
+    m_counts.unanswered += !answer && maybe_sent ? 1 : 0;
     if (queried == m_leader && (is_unreached || (answer && answer->not_leader()))) {
         const std::string other =
             answer && answer->leader() != queried ? answer->leader() : std::string{};
@@ -256,6 +285,7 @@
 
 void leader_link::give_up(const shared_call& call)
 {
+    ++m_counts.given_up;
     call->on_finished({call->may_have_run ? outcome::kind::unknown : outcome::kind::not_run, {}});
 }
 
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -69,6 +69,8 @@
                    std::optional<proto::controlplane::CallerAnswer> answer, bool maybe_sent);
     void enqueue(const shared_call& call) { m_waiting.push_back(call); }
     void send_waiting(base::time_point now);
+    /// Writes one line about the calls of the last second, if any got no answer.
+    void write_report(base::time_point now);
     void set_leader(base::time_point now, const std::string& leader, std::string_view why);
     void close_connections(const std::string& leader);
     void give_up(const shared_call& call);
@@ -87,6 +89,19 @@
     std::uint32_t m_pending_syncs = 0;    ///< without an answer yet
     std::uint32_t m_unanswered_syncs = 0; ///< in a row, by the leader
     std::vector<shared_call> m_waiting;
+
+    /// Calls to the leader since the last report.
+    struct call_counts {
+        std::uint64_t sent = 0;
+        std::uint64_t resent = 0; ///< among `sent`, other than for the first time
+        std::uint64_t unanswered =
+            0;                       ///< sent without a usable answer; the leader may have got them
+        std::uint64_t unreached = 0; ///< not sent: no connection
+        std::uint64_t given_up = 0;
+        std::uint64_t syncs_unanswered = 0;
+    };
+    call_counts m_counts;
+    base::time_point m_last_report;
 };
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/worker_relay.cpp
+++ b/src/controlplane/worker_relay.cpp
@@ -325,6 +325,12 @@
     }
 }
 
+std::size_t worker_relay::suspended_count() const
+{
+    return static_cast<std::size_t>(std::ranges::count_if(
+        m_suspended_until, [this](const auto& entry) { return m_now < entry.second; }));
+}
+
 void worker_relay::flush()
 {
     for (const auto& [to, message] : std::exchange(m_outgoing, {})) {
--- a/src/controlplane/worker_relay.h
+++ b/src/controlplane/worker_relay.h
@@ -42,6 +42,11 @@
     /// Sends the messages that were queued since the last call.
     void flush();
 
+    /// Number of relayed orders without an outcome.
+    [[nodiscard]] std::size_t pending_count() const { return m_pending.size(); }
+    /// Number of core processes that get no orders because they lost one.
+    [[nodiscard]] std::size_t suspended_count() const;
+
 private:
     using outcome = proto::controlplane::RelayOutcome;
     struct pending_order {
