Bound what entry processes send again to a leader that is late

Cause: a call without an answer in time counted as a sign that the connections are dead. post_message then closed all connections to the leader, so that every other call on them ended without an answer and was sent again within 10 ms, on new connections. A call whose caller's own time was over had the same effect, so with some calls on their way there was always one. Evidence: 60 to 88% of the 1,100 to 3,800 calls a second at the leader had been sent before, with as many new connections, while no call waited there for more than 30 ms; its processor time was used up. A call that found no free connection, and a sync that waited behind other calls, counted as a sign that the leader is gone (2,389 times leader_lost "no answer"). Syncs are urgent and open a connection beyond the limit. A leader that leaves syncs unanswered for 0.9 s gets no calls until it answers one; it is replaced when another process is named as the leader. An entry process with 256 pending calls refuses further ones at once. request_not_passed says why.

--- a/include/lovagebeam/targets/http_client.h
+++ b/include/lovagebeam/targets/http_client.h
@@ -58,6 +58,8 @@
     std::vector<http_header> headers; ///< Without Host, Content-Length and Connection.
     std::string body;
     base::time_point deadline; ///< The whole call ends before this time or as `timed_out`.
+    /// Doesn't wait behind other calls: opens a connection beyond the limit if all are busy.
+    bool is_urgent = false;
 };
 
 struct http_result {
--- a/src/controlplane/entry_host.cpp
+++ b/src/controlplane/entry_host.cpp
@@ -276,17 +276,20 @@
 {
     using kind = leader_link::outcome::kind;
     const bool is_answered = outcome.how == kind::answered;
-    log_event{is_answered ? severity::info : severity::warning,
-              is_answered ? "request_answered" : "request_not_passed"}
-        .with("method", call.method())
+    log_event line{is_answered ? severity::info : severity::warning,
+                   is_answered ? "request_answered" : "request_not_passed"};
+    line.with("method", call.method())
         .with("path", call.path())
         .with("status", outcome.answer.status())
         .with("leader", m_link.leader())
         .with("took_us", std::chrono::duration_cast<std::chrono::microseconds>(took).count())
         .with("outcome", is_answered                    ? "answered"
                          : outcome.how == kind::unknown ? "unknown"
-                                                        : "not_run")
-        .write();
+                                                        : "not_run");
+    if (!is_answered) {
+        line.with("why", outcome.why);
+    }
+    line.write();
 }
 
 void entry_host_implementation::answer(const leader_link::outcome& outcome,
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds search_interval{60};
 constexpr std::chrono::milliseconds sync_timeout{600};
 constexpr std::uint32_t max_pending_syncs = 3;
+constexpr std::uint32_t max_pending_queries = 4;
 /// A leader without a confirmation for this long may have failed, so the other core processes are
 /// queried. The sync interval plus several times the usual response time.
 constexpr std::chrono::milliseconds late_leader_threshold{600};
@@ -29,11 +30,12 @@
 constexpr std::chrono::milliseconds query_interval{150};
 /// An entry process counts as connected for this long after the leader's last confirmation.
 constexpr std::chrono::milliseconds confirmation_timeout{1'500};
-/// A call to the leader without an answer by then is sent again.
-constexpr std::chrono::milliseconds attempt_timeout{1'800};
-/// A leader that leaves this many syncs in a row unanswered is dropped. One alone may be late
-/// because the leader is busy.
-constexpr std::uint32_t max_unanswered_syncs = 2;
+/// No calls are sent to a leader without a confirmation for this long, twice the sync interval: it
+/// may be gone, or have more load than it can serve.
+constexpr std::chrono::milliseconds silent_leader_threshold{900};
+/// Further calls are refused at once. Far more than an entry process has on their way to a leader
+/// that answers.
+constexpr std::size_t max_pending_calls = 256;
 /// A process that refused a call as not the leader isn't used for this long, about the time of an
 /// election, because other processes may still report it as the leader.
 constexpr std::chrono::milliseconds denial_period{300};
@@ -48,7 +50,8 @@
 
 leader_link::leader_link(const settings::process_settings& settings, targets::http_client& client,
                          daemon::decision_loop& loop)
-    : m_settings{settings}, m_client{client}, m_loop{loop}
+    : m_settings{settings}, m_client{client}, m_loop{loop}, m_random{std::hash<std::string>{}(
+                                                                settings.address)}
 {
     for (const auto& seed : settings.seeds) {
         m_cores.insert(seed.address);
@@ -66,7 +69,7 @@
     if (now >= m_next_sync && m_pending_syncs < max_pending_syncs) {
         sync(now);
     }
-    if (is_leader_late(now) && now >= m_next_query) {
+    if (is_leader_late(now) && now >= m_next_query && m_pending_queries < max_pending_queries) {
         query_other_core(now);
     }
     send_waiting(now);
@@ -99,15 +102,21 @@
     return !m_leader.empty() && now - m_last_confirmation >= late_leader_threshold;
 }
 
+bool leader_link::is_leader_silent(base::time_point now) const
+{
+    return m_leader.empty() || now - m_last_confirmation >= silent_leader_threshold;
+}
+
 void leader_link::sync(base::time_point now)
 {
     m_next_sync = now + (m_leader.empty() ? search_interval : sync_interval);
     if (!m_leader.empty()) {
-        send_sync(m_leader);
+        send_sync(m_leader, m_pending_syncs);
     }
     else if (!m_cores.empty()) {
         send_sync(*std::next(m_cores.begin(),
-                             static_cast<std::ptrdiff_t>(m_next_core++ % m_cores.size())));
+                             static_cast<std::ptrdiff_t>(m_next_core++ % m_cores.size())),
+                  m_pending_syncs);
     }
 }
 
@@ -117,39 +126,35 @@
     std::vector<std::string> others;
     std::ranges::remove_copy(m_cores, std::back_inserter(others), m_leader);
     if (!others.empty()) {
-        send_sync(others[m_next_core++ % others.size()]);
+        send_sync(others[m_next_core++ % others.size()], m_pending_queries);
     }
 }
 
-void leader_link::send_sync(const std::string& to)
+void leader_link::send_sync(const std::string& to, std::uint32_t& pending)
 {
-    ++m_pending_syncs;
+    ++pending;
     pb::SyncRequest request;
     request.set_entry(m_settings.address);
     request.set_wall_ms(base::wall_now().time_since_epoch().count());
     post_message<pb::SyncAnswer>(
         m_client, to, core_port(m_settings), sync_path, request, sync_timeout,
-        [this, to](std::optional<pb::SyncAnswer> answer, call_failure) {
-            m_loop.post_completion([this, to, answer = std::move(answer)](base::time_point when) {
-                on_sync(when, to, answer);
-            });
-        });
+        [this, to, &pending](std::optional<pb::SyncAnswer> answer, call_failure) {
+            m_loop.post_completion(
+                [this, to, &pending, answer = std::move(answer)](base::time_point when) {
+                    --pending;
+                    on_sync(when, to, answer);
+                });
+        },
+        call_urgency::urgent);
 }
 
 void leader_link::on_sync(base::time_point now, const std::string& queried,
                           const std::optional<pb::SyncAnswer>& answer)
 {
-    --m_pending_syncs;
     if (!answer) {
         ++m_counts.syncs_unanswered;
-        if (queried == m_leader && ++m_unanswered_syncs >= max_unanswered_syncs) {
-            set_leader(now, {}, "no answer");
-        }
         return;
     }
-    if (queried == m_leader) {
-        m_unanswered_syncs = 0;
-    }
     for (const auto& core : answer->cores()) {
         m_cores.insert(core);
     }
@@ -159,6 +164,7 @@
             close_connections(m_leader);
         }
         set_leader(now, queried, "confirmed");
+        send_waiting(now);
     }
     else if (queried != m_leader && is_leader_late(now)) {
         // An answer that still names the late leader gives no new information.
@@ -190,11 +196,10 @@
         .with("why", why)
         .write();
     m_leader = leader;
-    m_unanswered_syncs = 0;
     m_next_sync = now;
     if (!leader.empty()) {
         m_cores.insert(leader);
-        send_waiting(now);
+        m_retries.on_new_leader();
     }
 }
 
@@ -206,76 +211,125 @@
     next->deadline = deadline - answer_margin;
     next->received_at = now;
     next->on_finished = std::move(on_finished);
+    ++m_pending_calls;
+    if (m_pending_calls > max_pending_calls) {
+        give_up(next, "too many calls wait");
+        return;
+    }
     send(now, next);
 }
 
 void leader_link::send(base::time_point now, const shared_call& call)
 {
-    if (m_leader.empty()) {
-        enqueue(call);
-        return;
-    }
     const auto remaining =
         std::chrono::duration_cast<std::chrono::milliseconds>(call->deadline - now);
     if (remaining <= std::chrono::milliseconds{0}) {
-        give_up(call);
+        give_up(call, "deadline");
         return;
     }
+    if (is_leader_silent(now)) {
+        enqueue(call);
+        return;
+    }
+    if (call->attempts == 0) {
+        m_retries.on_first_attempt();
+    }
+    const auto timeout = m_retries.attempt_timeout(remaining);
+    call->sent_at = now;
     call->call.set_attempt(++call->attempts);
     ++m_counts.sent;
     m_counts.resent += call->attempts > 1 ? 1 : 0;
-    call->call.set_remaining_ms(std::min(remaining, attempt_timeout).count());
+    call->call.set_remaining_ms(timeout.count());
     post_message<pb::CallerAnswer>(
-        m_client, m_leader, core_port(m_settings), caller_path, call->call,
-        std::min(remaining, attempt_timeout),
+        m_client, m_leader, core_port(m_settings), caller_path, call->call, timeout,
         [this, call, to = m_leader](std::optional<pb::CallerAnswer> answer, call_failure failure) {
             m_loop.post_completion(
                 [this, call, to, answer = std::move(answer), failure](base::time_point when) {
-                    on_answer(when, call, to, answer, failure == call_failure::unknown);
+                    on_answer(when, call, to, answer, failure);
                 });
         });
 }
 
 void leader_link::on_answer(base::time_point now, const shared_call& call,
                             const std::string& queried, std::optional<pb::CallerAnswer> answer,
-                            bool maybe_sent)
+                            call_failure failure)
 {
     if (answer && !answer->not_leader() && !answer->in_doubt()) {
-        // An earlier attempt may have been accepted before the key or queue was removed, so a
-        // refusal of this attempt doesn't mean that the job was refused.
-        const bool is_inconclusive = call->may_have_run && call->call.method() == "POST" &&
-                                     answer->status() > status_bad_request;
-        if (is_inconclusive) {
-            give_up(call);
-        }
-        else {
-            call->on_finished({outcome::kind::answered, *std::move(answer)});
+        if (call->attempts == 1) {
+            m_retries.on_answer(now - call->sent_at);
         }
+        finish(call, *std::move(answer));
         return;
     }
-    call->may_have_run |= answer ? answer->in_doubt() : maybe_sent;
-    const bool is_unreached = !answer && !maybe_sent;
-    m_counts.unreached += is_unreached ? 1 : 0;
-    m_counts.unanswered += !answer && maybe_sent ? 1 : 0;
-    if (queried == m_leader && (is_unreached || (answer && answer->not_leader()))) {
+    call->may_have_run |= answer ? answer->in_doubt() : may_have_run(failure);
+    const bool is_refused = !answer && failure == call_failure::refused;
+    m_counts.unreached += !answer && !may_have_run(failure) ? 1 : 0;
+    m_counts.unanswered += !answer && may_have_run(failure) ? 1 : 0;
+    if (queried == m_leader && (is_refused || (answer && answer->not_leader()))) {
         const std::string other =
             answer && answer->leader() != queried ? answer->leader() : std::string{};
         if (answer) {
             m_denied_by = queried;
             m_denied_until = now + denial_period;
         }
-        set_leader(now, other, answer ? "doesn't lead" : "no answer");
+        set_leader(now, other, answer ? "doesn't lead" : "refuses connections");
+    }
+    retry(now, call, queried, answer.has_value(), failure);
+}
+
+void leader_link::finish(const shared_call& call, pb::CallerAnswer answer)
+{
+    // An earlier attempt may have been accepted before the key or queue was removed, so a refusal
+    // of this attempt doesn't mean that the job was refused.
+    const bool is_inconclusive =
+        call->may_have_run && call->call.method() == "POST" && answer.status() > status_bad_request;
+    if (is_inconclusive) {
+        give_up(call, "an earlier attempt may have been accepted");
+        return;
+    }
+    --m_pending_calls;
+    call->on_finished({outcome::kind::answered, std::move(answer), {}});
+}
+
+void leader_link::retry(base::time_point now, const shared_call& call, const std::string& queried,
+                        bool is_answered, call_failure failure)
+{
+    if (now >= call->deadline) {
+        give_up(call, "deadline");
+        return;
+    }
+    // Calls to a former leader and those that it refused go to the next one.
+    if (queried != m_leader) {
+        call->failures = 0;
+        enqueue(call);
+        return;
+    }
+    if (is_answered || failure == call_failure::timed_out) {
+        if (!is_answered) {
+            m_retries.on_timeout();
+        }
+        if (!m_retries.take_retry()) {
+            give_up(call, "no answer");
+            return;
+        }
+        enqueue(call);
+        return;
     }
+    call->not_before = now + m_retries.delay_after(call->failures++, m_random.unit());
     enqueue(call);
 }
 
 void leader_link::send_waiting(base::time_point now)
 {
+    const bool is_silent = is_leader_silent(now);
     for (const auto& call : std::exchange(m_waiting, {})) {
         const bool is_expired =
             !call->may_have_run && now - call->received_at >= leaderless_timeout;
-        if (now >= call->deadline || (m_leader.empty() && is_expired)) {
-            give_up(call);
+        if (now >= call->deadline || (is_silent && is_expired)) {
+            give_up(call, m_leader.empty() ? "no leader" : "the leader doesn't answer");
+        }
+        else if (now < call->not_before) {
+            enqueue(call);
         }
         else {
             send(now, call);
@@ -283,10 +337,12 @@
     }
 }
 
-void leader_link::give_up(const shared_call& call)
+void leader_link::give_up(const shared_call& call, std::string_view why)
 {
     ++m_counts.given_up;
-    call->on_finished({call->may_have_run ? outcome::kind::unknown : outcome::kind::not_run, {}});
+    --m_pending_calls;
+    call->on_finished(
+        {call->may_have_run ? outcome::kind::unknown : outcome::kind::not_run, {}, why});
 }
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include "lovagebeam/base/random_source.h"
 #include "lovagebeam/settings/process_settings.h"
 #include "lovagebeam/targets/http_client.h"
 
 #include "controlplane.pb.h"
 #include "decision_loop.h"
+#include "internal_calls.h"
+#include "retry_policy.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +32,7 @@
         };
         kind how = kind::not_run;
         proto::controlplane::CallerAnswer answer;
+        std::string_view why; ///< for the log, unless answered
     };
     using done = std::function<void(outcome)>;
 
@@ -38,7 +42,8 @@
     void tick(base::time_point now);
 
     /// Forwards the call to the leader, with retries, which may go to a new leader, until
-    /// `deadline`. Gives up earlier when nothing was sent and no leader is found.
+    /// `deadline`. Gives up earlier when nothing was sent and no leader answers, when too many
+    /// calls wait already, or when the call may not be sent again.
     void forward(base::time_point now, proto::controlplane::CallerCall call,
                  base::time_point deadline, done on_finished);
 
@@ -53,6 +58,9 @@
         base::time_point received_at;
         bool may_have_run = false;
         std::uint32_t attempts = 0;
+        std::uint32_t failures = 0;  ///< in a row, to send the call
+        base::time_point sent_at;    ///< of the last attempt
+        base::time_point not_before; ///< of the next attempt
         done on_finished;
     };
     using shared_call = std::shared_ptr<forwarded_call>;
@@ -60,20 +68,26 @@
     void sync(base::time_point now);
     /// Asks a core process other than the leader for the leader's address.
     void query_other_core(base::time_point now);
-    void send_sync(const std::string& to);
+    void send_sync(const std::string& to, std::uint32_t& pending);
     [[nodiscard]] bool is_leader_late(base::time_point now) const;
+    /// Whether calls are held back because there is no leader or it doesn't answer syncs.
+    [[nodiscard]] bool is_leader_silent(base::time_point now) const;
     void on_sync(base::time_point now, const std::string& queried,
                  const std::optional<proto::controlplane::SyncAnswer>& answer);
     void send(base::time_point now, const shared_call& call);
     void on_answer(base::time_point now, const shared_call& call, const std::string& queried,
-                   std::optional<proto::controlplane::CallerAnswer> answer, bool maybe_sent);
+                   std::optional<proto::controlplane::CallerAnswer> answer, call_failure failure);
+    void finish(const shared_call& call, proto::controlplane::CallerAnswer answer);
+    /// Decides what becomes of a call that got no conclusive answer.
+    void retry(base::time_point now, const shared_call& call, const std::string& queried,
+               bool is_answered, call_failure failure);
     void enqueue(const shared_call& call) { m_waiting.push_back(call); }
     void send_waiting(base::time_point now);
     /// Writes one line about the calls of the last second, if any got no answer.
     void write_report(base::time_point now);
     void set_leader(base::time_point now, const std::string& leader, std::string_view why);
     void close_connections(const std::string& leader);
-    void give_up(const shared_call& call);
+    void give_up(const shared_call& call, std::string_view why);
 
     const settings::process_settings& m_settings;
     targets::http_client& m_client;
@@ -86,9 +100,12 @@
     base::time_point m_next_sync;
     base::time_point m_next_query; ///< to a core process other than the leader
     std::uint64_t m_next_core = 0;
-    std::uint32_t m_pending_syncs = 0;    ///< without an answer yet
-    std::uint32_t m_unanswered_syncs = 0; ///< in a row, by the leader
+    std::uint32_t m_pending_syncs = 0;   ///< without an answer yet
+    std::uint32_t m_pending_queries = 0; ///< to core processes other than the leader
     std::vector<shared_call> m_waiting;
+    std::size_t m_pending_calls = 0; ///< waiting or sent
+    retry_policy m_retries;
+    base::random_source m_random;
 
     /// Calls to the leader since the last report.
     struct call_counts {
--- a/src/targets/endpoint_pool.cpp
+++ b/src/targets/endpoint_pool.cpp
@@ -4,6 +4,12 @@
 #include <utility>
 
 namespace lovagebeam::targets {
+namespace {
+
+/// Connections to one endpoint that only urgent calls may open.
+constexpr std::size_t reserved_connections = 2;
+
+} // namespace
 
 endpoint_pool::endpoint_pool(boost::asio::io_context& io, pool_owner& owner, endpoint where,
                              boost::asio::ip::tcp::endpoint address,
@@ -15,7 +21,12 @@
 
 void endpoint_pool::add(const call_ptr& call)
 {
-    if (m_queue.empty() && assign_connection(call)) {
+    const bool is_urgent = call->call.is_urgent;
+    if ((m_queue.empty() || is_urgent) && assign_connection(call)) {
+        return;
+    }
+    if (is_urgent) {
+        m_queue.push_front(call);
         return;
     }
     if (m_queue.size() >= m_limits.max_queued_calls_per_endpoint) {
@@ -40,7 +51,8 @@
             return true;
         }
     }
-    if (m_connections.size() >= m_limits.max_connections_per_endpoint) {
+    const auto reserved = call->call.is_urgent ? reserved_connections : 0;
+    if (m_connections.size() >= m_limits.max_connections_per_endpoint + reserved) {
         return false;
     }
     const auto opened = std::make_shared<connection>(m_io, *this, m_limits);
--- a/tests/targets/client_fixture.h
+++ b/tests/targets/client_fixture.h
@@ -26,7 +26,7 @@
 protected:
     std::future<targets::http_result> call(std::uint16_t port, std::string path = "/",
                                            std::chrono::milliseconds limit = test_timeout,
-                                           std::string body = {})
+                                           std::string body = {}, bool is_urgent = false)
     {
         if (!m_client) {
             m_client = std::make_unique<targets::http_client>(m_limits);
@@ -38,12 +38,18 @@
         request.path = std::move(path);
         request.body = std::move(body);
         request.deadline = std::chrono::steady_clock::now() + limit;
+        request.is_urgent = is_urgent;
         auto done = std::make_shared<std::promise<targets::http_result>>();
         m_client->send(std::move(request),
                        [done](targets::http_result result) { done->set_value(std::move(result)); });
         return done->get_future();
     }
 
+    std::future<targets::http_result> urgent_call(std::uint16_t port)
+    {
+        return call(port, "/", test_timeout, {}, true);
+    }
+
     /// Returns a port on which nothing listens.
     static std::uint16_t unused_port()
     {
--- a/tests/targets/http_client_pool_test.cpp
+++ b/tests/targets/http_client_pool_test.cpp
@@ -37,6 +37,7 @@
     CPPUNIT_TEST(connection_with_unexpected_bytes_is_not_reused);
     CPPUNIT_TEST(idle_connection_is_closed_after_idle_timeout);
     CPPUNIT_TEST(calls_over_limit_wait_for_a_connection);
+    CPPUNIT_TEST(urgent_call_all_connections_busy_is_answered);
     CPPUNIT_TEST(closing_connection_counts_until_closed);
     CPPUNIT_TEST(call_to_full_queue_is_refused);
     CPPUNIT_TEST(queued_call_deadline_is_timed_out_not_sent);
@@ -97,6 +98,26 @@
         CPPUNIT_ASSERT(wait_until([this] { return m_client->counters().connections_open == 0; }));
     }
 
+    // Guards against a health check that fails because other calls keep all connections busy.
+    void urgent_call_all_connections_busy_is_answered()
+    {
+        m_limits.max_connections_per_endpoint = 1;
+        scripted_server server{[](tcp_socket& socket, int number) {
+            read_request(socket);
+            if (number > 0) {
+                write_all(socket, answer_with(std::to_string(number)));
+            }
+            read_request(socket);
+        }};
+        auto unanswered = call(server.port(), "/", 500ms);
+        CPPUNIT_ASSERT(wait_until([this] { return m_client->counters().connections_open == 1; }));
+        auto waiting = call(server.port(), "/", 500ms);
+        const http_result urgent = urgent_call(server.port()).get();
+        assert_outcome(http_outcome::answered, urgent);
+        assert_outcome(http_outcome::timed_out, unanswered.get());
+        static_cast<void>(waiting.get());
+    }
+
     void calls_over_limit_wait_for_a_connection()
     {
         m_limits.max_connections_per_endpoint = 3;
