--- a/tests/adapter/worker_messages_test.cpp
+++ b/tests/adapter/worker_messages_test.cpp
@@ -5,7 +5,10 @@
 
 #include <cppunit/extensions/HelperMacros.h>
 
+#include <functional>
+#include <map>
 #include <string>
+#include <string_view>
 
 namespace {
 
@@ -20,6 +23,9 @@
     CPPUNIT_TEST(hold_answer_with_malformed_row_is_rejected);
     CPPUNIT_TEST(heartbeat_valid_is_read);
     CPPUNIT_TEST(heartbeat_malformed_is_rejected);
+    CPPUNIT_TEST(heartbeat_deeply_nested_is_rejected);
+    CPPUNIT_TEST(heartbeat_number_too_large_is_rejected);
+    CPPUNIT_TEST(heartbeat_address_unusable_is_rejected);
     CPPUNIT_TEST(start_without_checkpoint_omits_the_field);
     CPPUNIT_TEST_SUITE_END();
 
@@ -54,13 +60,55 @@
         CPPUNIT_ASSERT(jobs::end_kind::done == answer->finished.at(0).how);
     }
 
+    // Guards against a process that ends, or a fleet whose sums overflow, because of one odd entry
+    // among the registrations of the workers.
+    void heartbeat_deeply_nested_is_rejected()
+    {
+        for (const std::size_t depth : {33U, 1'000U, 1'000'000U}) {
+            const auto nested = std::string(depth, '[') + std::string(depth, ']');
+            CPPUNIT_ASSERT(!decode_heartbeat("i-1", nested).ok());
+            CPPUNIT_ASSERT(!decode_heartbeat("i-1", heartbeat_with("labels", nested)).ok());
+            CPPUNIT_ASSERT(!decode_heartbeat("i-1", std::string(depth, '[')).ok());
+        }
+        CPPUNIT_ASSERT(decode_heartbeat("i-1", heartbeat_with("odd", "[[[[]]]]")).ok());
+    }
+
+    void heartbeat_number_too_large_is_rejected()
+    {
+        for (const auto* const number : {"1e300", "9223372036854775807", "18446744073709551616",
+                                         "99999999999999999999999999"}) {
+            for (const auto* const field : {"clockMs", "sequence", "born"}) {
+                CPPUNIT_ASSERT_MESSAGE(
+                    number, !decode_heartbeat("i-1", heartbeat_with(field, number)).ok());
+            }
+            for (const auto* const field : {"cpu", "memoryRequestMb", "gpu"}) {
+                const auto capacity = std::string{R"({")"} + field + R"(":)" + number + "}";
+                CPPUNIT_ASSERT_MESSAGE(
+                    capacity, !decode_heartbeat("i-1", heartbeat_with("capacity", capacity)).ok());
+            }
+        }
+    }
+
+    // Guards against tasks that are placed on a worker that can't be called.
+    void heartbeat_address_unusable_is_rejected()
+    {
+        for (const auto* const address :
+             {R"("10.0.0.1:65536")", R"("10.0.0.1:99999999999")", R"("10.0.0.1:0")",
+              R"("10.0.0.1:-1")", R"("10.0.0.1")", R"("10.0.0.1:")", R"("host.example:80")",
+              R"("10.0.0.999:80")", R"(":80")", R"("")", "80"}) {
+            CPPUNIT_ASSERT_MESSAGE(
+                address, !decode_heartbeat("i-1", heartbeat_with("address", address)).ok());
+        }
+    }
+
     // Guards against treating a run as lost because its row is malformed.
     void hold_answer_with_malformed_row_is_rejected()
     {
         for (const auto* const text :
              {R"({"running":[],"finished":[]})", R"({"clockMs":1,"running":[["x",1,"",0]]})",
               R"({"clockMs":1,"finished":[[1,"5c0e7a21d94b36f8.0.1.9",1,"vanished",""]]})",
-              R"({"clockMs":1,"running":{}})"}) {
+              R"({"clockMs":1,"running":{}})", R"({"clockMs":9223372036854775807})",
+              R"({"clockMs":1,"running":[["5c0e7a21d94b36f8.0.1.9",4294967297,"",0]]})"}) {
             CPPUNIT_ASSERT_MESSAGE(text, !decode_hold(text, base::wall_time{}).ok());
         }
     }
@@ -92,6 +140,26 @@
         }
     }
 
+    /// A heartbeat with the JSON text `value` in place of the value of `field`.
+    static std::string heartbeat_with(std::string_view field, std::string_view value)
+    {
+        std::map<std::string, std::string, std::less<>> fields{{"service", R"("s")"},
+                                                               {"address", R"("10.0.0.1:80")"},
+                                                               {"zone", R"("z")"},
+                                                               {"state", R"("ready")"},
+                                                               {"capacity", R"({"cpu":1})"},
+                                                               {"labels", "[]"},
+                                                               {"clockMs", "1"},
+                                                               {"sequence", "1"},
+                                                               {"born", "1"}};
+        fields[std::string{field}] = value;
+        std::string out;
+        for (const auto& [name, text] : fields) {
+            out += (out.empty() ? "{\"" : ",\"") + name + "\":" + text;
+        }
+        return out + "}";
+    }
+
     void start_without_checkpoint_omits_the_field()
     {
         jobs::start_order order;
