--- a/src/daemon/null_log_writer.h
+++ b/src/daemon/null_log_writer.h
@@ -16,8 +16,13 @@
     {
         m_loop.post_completion(std::move(when_durable));
     }
-    void save_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>, bool,
-                       done when_durable) override
+    void save_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>,
+                       done when_durable, done) override
+    {
+        m_loop.post_completion(std::move(when_durable));
+    }
+    void install_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>,
+                          done when_durable) override
     {
         m_loop.post_completion(std::move(when_durable));
     }
--- a/src/daemon/ports.h
+++ b/src/daemon/ports.h
@@ -35,11 +35,15 @@
 
     virtual void persist(consensus::persist_request request, done when_durable) = 0;
 
-    /// Saves a snapshot. `replaces_log` is true for a snapshot from another host: the stored log
-    /// doesn't continue it and is discarded.
+    /// Saves a snapshot of this host's state. Calls `when_abandoned` instead if the disk is full or
+    /// a newer snapshot comes meanwhile: the log is complete without it.
     virtual void save_snapshot(consensus::snapshot_meta meta,
-                               std::shared_ptr<const std::string> bytes, bool replaces_log,
-                               done when_durable) = 0;
+                               std::shared_ptr<const std::string> bytes, done when_durable,
+                               done when_abandoned) = 0;
+
+    /// Saves a snapshot from another host. The stored log doesn't continue it and is discarded.
+    virtual void install_snapshot(consensus::snapshot_meta meta,
+                                  std::shared_ptr<const std::string> bytes, done when_durable) = 0;
 
     /// Discards the stored log up to `index`, which is covered by a snapshot.
     virtual void compact_to(consensus::log_index index) = 0;
--- a/src/daemon/replication.h
+++ b/src/daemon/replication.h
@@ -153,6 +153,7 @@
     consensus::snapshot_meta m_snapshot;
     std::shared_ptr<const std::string> m_snapshot_bytes;
     bool m_snapshot_in_progress = false;
+    base::time_point m_next_snapshot;
     std::string m_incoming_snapshot;
     peer_sender& m_sender;
     log_writer& m_writer;
--- a/src/daemon/replication_snapshots.cpp
+++ b/src/daemon/replication_snapshots.cpp
@@ -5,6 +5,7 @@
 
 #include <xxhash.h>
 
+#include <chrono>
 #include <utility>
 
 namespace lovagebeam::daemon {
@@ -17,12 +18,15 @@
 /// second. A restart replays at most this many entries, and as many again that arrived while a
 /// snapshot was being saved.
 constexpr std::uint64_t entries_per_snapshot = 10'000;
+/// A snapshot that was abandoned, for example because the disk is full, is tried again after this
+/// time. Encoding it takes the time of the decisions thread.
+constexpr std::chrono::seconds abandoned_retry_delay{2};
 
 } // namespace
 
-void replication::save_snapshot_if_due(base::time_point)
+void replication::save_snapshot_if_due(base::time_point now)
 {
-    if (m_snapshot_in_progress ||
+    if (m_snapshot_in_progress || now < m_next_snapshot ||
         m_applied.value() < m_snapshot.index.value() + entries_per_snapshot) {
         return;
     }
@@ -34,13 +38,17 @@
     meta->size = base::bytes{static_cast<std::int64_t>(bytes->size())};
     meta->checksum = XXH3_64bits(bytes->data(), bytes->size());
     m_snapshot_in_progress = true;
-    m_writer.save_snapshot(*meta, bytes, false, [this, meta, bytes](base::time_point when) {
+    const auto when_durable = [this, meta, bytes](base::time_point when) {
         m_snapshot_in_progress = false;
         if (m_snapshot.index < meta->index) {
             m_snapshot = *meta;
             m_snapshot_bytes = bytes;
             step(when, consensus::snapshot_saved{*meta});
         }
+    };
+    m_writer.save_snapshot(*meta, bytes, when_durable, [this](base::time_point when) {
+        m_snapshot_in_progress = false;
+        m_next_snapshot = when + abandoned_retry_delay;
     });
 }
 
@@ -93,7 +101,7 @@
     m_snapshot = meta;
     m_snapshot_bytes = bytes;
     m_listener.on_state_replaced(now);
-    m_writer.save_snapshot(meta, bytes, true, [this, meta](base::time_point when) {
+    m_writer.install_snapshot(meta, bytes, [this, meta](base::time_point when) {
         step(when, consensus::snapshot_installed{meta});
     });
 }
--- a/src/daemon/storage_thread.cpp
+++ b/src/daemon/storage_thread.cpp
@@ -49,10 +49,17 @@
 }
 
 void storage_thread::save_snapshot(consensus::snapshot_meta meta,
-                                   std::shared_ptr<const std::string> bytes, bool replaces_log,
-                                   done when_durable)
+                                   std::shared_ptr<const std::string> bytes, done when_durable,
+                                   done when_abandoned)
 {
-    push(snapshot_work{std::move(meta), std::move(bytes), replaces_log, std::move(when_durable),
+    push(snapshot_work{std::move(meta), std::move(bytes), std::move(when_durable),
+                       std::move(when_abandoned), nullptr});
+}
+
+void storage_thread::install_snapshot(consensus::snapshot_meta meta,
+                                      std::shared_ptr<const std::string> bytes, done when_durable)
+{
+    push(snapshot_work{std::move(meta), std::move(bytes), std::move(when_durable), nullptr,
                        nullptr});
 }
 
@@ -103,24 +110,61 @@
         }
         return;
     }
-    auto& snapshot = std::get<snapshot_work>(next);
+    begin_snapshot(std::get<snapshot_work>(std::move(next)));
+}
+
+void storage_thread::begin_snapshot(snapshot_work snapshot)
+{
     if (snapshot.meta.index <= m_store->snapshot().index) {
         m_loop.post_completion(std::move(snapshot.when_durable));
         return;
     }
-    auto writer = m_store->begin_snapshot(snapshot.meta);
-    if (!writer.ok()) {
-        abort_process(writer.status());
+    if (m_snapshot) {
+        abandon_snapshot("a newer snapshot");
     }
-    snapshot.writer = *std::move(writer);
     m_snapshot = std::move(snapshot);
+    const bool has_begun = write_snapshot([this] {
+        auto writer = m_store->begin_snapshot(m_snapshot->meta);
+        if (writer.ok()) {
+            m_snapshot->writer = *std::move(writer);
+        }
+        return writer.status();
+    });
     // The log continues after an installed snapshot, so no other request may be handled before it
     // is complete.
-    while (m_snapshot && m_snapshot->replaces_log) {
+    while (has_begun && m_snapshot && !m_snapshot->when_abandoned) {
         continue_snapshot();
     }
 }
 
+void storage_thread::abandon_snapshot(std::string_view why)
+{
+    log_event{severity::warning, "snapshot_abandoned"}
+        .with("index", m_snapshot->meta.index.value())
+        .with("why", why)
+        .write();
+    auto when_abandoned = std::move(m_snapshot->when_abandoned);
+    m_snapshot.reset();
+    m_loop.post_completion(std::move(when_abandoned));
+}
+
+bool storage_thread::write_snapshot(const std::function<absl::Status()>& write)
+{
+    if (!m_snapshot->when_abandoned) {
+        retry_while_full(write);
+        return true;
+    }
+    const auto status = write();
+    if (base::has_code(status, base::error_code::storage_full)) {
+        abandon_snapshot("disk full");
+        return false;
+    }
+    if (!status.ok()) {
+        abort_process(status);
+    }
+    return true;
+}
+
 void storage_thread::sync_pending()
 {
     if (m_unsynced.empty()) {
@@ -138,7 +182,7 @@
     const std::string_view bytes = *m_snapshot->bytes;
     const auto written = m_snapshot->writer->size();
     if (written < bytes.size()) {
-        retry_while_full([&] {
+        write_snapshot([&] {
             return m_snapshot->writer->append(bytes.substr(written, snapshot_chunk_bytes));
         });
         return;
@@ -148,8 +192,10 @@
 
 void storage_thread::finish_snapshot()
 {
-    retry_while_full([this] { return m_snapshot->writer->finish(); });
-    if (m_snapshot->replaces_log) {
+    if (!write_snapshot([this] { return m_snapshot->writer->finish(); })) {
+        return;
+    }
+    if (!m_snapshot->when_abandoned) {
         retry_while_full([this] { return m_store->reset_log(); });
         retry_while_full([this] { return m_store->sync(); });
     }
--- a/src/daemon/storage_thread.h
+++ b/src/daemon/storage_thread.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <variant>
 #include <vector>
@@ -19,8 +20,9 @@
 namespace lovagebeam::daemon {
 
 /// The log writer of a voter: a thread that owns the store. Requests in one batch share a single
-/// sync. When the disk is full, writes are retried until there is space. Any other failure aborts
-/// the process, since the contents of the disk are unknown after it.
+/// sync. When the disk is full, writes are retried until there is space, except those of this
+/// host's own snapshots, which are abandoned: they take space that the log needs. Any other failure
+/// aborts the process, since the contents of the disk are unknown after it.
 class storage_thread : public log_writer {
 public:
     storage_thread(std::unique_ptr<storage::log_store> store, decision_loop& loop);
@@ -29,7 +31,9 @@
 
     void persist(consensus::persist_request request, done when_durable) override;
     void save_snapshot(consensus::snapshot_meta meta, std::shared_ptr<const std::string> bytes,
-                       bool replaces_log, done when_durable) override;
+                       done when_durable, done when_abandoned) override;
+    void install_snapshot(consensus::snapshot_meta meta, std::shared_ptr<const std::string> bytes,
+                          done when_durable) override;
     void compact_to(consensus::log_index index) override;
 
 private:
@@ -40,8 +44,8 @@
     struct snapshot_work {
         consensus::snapshot_meta meta;
         std::shared_ptr<const std::string> bytes;
-        bool replaces_log = false;
         done when_durable;
+        done when_abandoned; ///< null for a snapshot that replaces the log
         std::unique_ptr<storage::snapshot_writer> writer;
     };
     struct compact_work {
@@ -53,8 +57,14 @@
     void run();
     void handle(work next);
     void sync_pending();
+    void begin_snapshot(snapshot_work snapshot);
     void continue_snapshot();
     void finish_snapshot();
+    /// Abandons the unfinished snapshot.
+    void abandon_snapshot(std::string_view why);
+    /// Writes a part of the unfinished snapshot. Returns false if that was abandoned because the
+    /// disk is full.
+    bool write_snapshot(const std::function<absl::Status()>& write);
     void retry_while_full(const std::function<absl::Status()>& write);
 
     base::bounded_ring<work> m_queue;
--- a/tests/daemon/replication_test.cpp
+++ b/tests/daemon/replication_test.cpp
@@ -48,8 +48,13 @@
     {
         m_waiting.push_back(std::move(when_durable));
     }
-    void save_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>, bool,
-                       done when_durable) override
+    void save_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>,
+                       done when_durable, done) override
+    {
+        m_waiting.push_back(std::move(when_durable));
+    }
+    void install_snapshot(consensus::snapshot_meta, std::shared_ptr<const std::string>,
+                          done when_durable) override
     {
         m_waiting.push_back(std::move(when_durable));
     }
