Bound the part of the time that planning takes

Cause: with 60 to 100 waiting steps the leader planned about a hundred times a second, several milliseconds each, and used up its processor time (decisions 0.4 to 0.5 s of each second, 85 to 130 batches a second instead of 2,000), so that syncs waited for more than 0.6 s. Steps with an open call were looked at twice in each pass, and steps that fit nowhere in every one. Change: after a pass that took long the next one waits until planning has had a fifth of the time (on_planning_time). A step of priority 1 or lower of which nothing could be placed is looked at again after 40 ms or with the next advice. While a call is open, the reservation stays as it is. Why it works: what is left of the processor serves callers, workers and commits, whatever the backlog.

--- a/bench/jobs_bench/main.cpp
+++ b/bench/jobs_bench/main.cpp
@@ -134,7 +134,9 @@
     void execute_output()
     {
         coordinator_output out;
+        const auto before = m_measured_time;
         measure([&] { out = m_leader->take(m_now, wall()); });
+        m_leader->on_planning_time(m_now, m_measured_time - before);
         for (const auto& [id, batch] : out.batches) {
             commit(id, batch);
         }
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -43,6 +43,12 @@
     /// `plan_interval_max`.
     std::chrono::microseconds plan_interval_per_step{60};
     milliseconds plan_interval_max{40};
+    /// Largest part of the time that planning may take, so that a leader with a backlog still
+    /// answers calls and keeps up with its workers.
+    double max_planning_fraction = 0.2;
+    /// A step of priority 1 or lower of which no task could be placed isn't planned again before
+    /// this time has passed or advice on it has come.
+    milliseconds look_interval{40};
     /// How long ended jobs are retained.
     milliseconds retention{150'000};
     milliseconds forget_interval{5'000};
@@ -113,6 +119,9 @@
 
     /// Returns and clears the actions requested since the last call.
     coordinator_output take(base::time_point now, base::wall_time wall);
+    /// Records that the last call of `take`, which planned if that was due, ended at `now` and took
+    /// `took`. Delays the next planning pass if it took long.
+    void on_planning_time(base::time_point now, base::duration took);
 
     [[nodiscard]] const worker_table& workers() const { return m_workers; }
     [[nodiscard]] std::size_t ready_step_count() const { return m_ready.size(); }
@@ -127,6 +136,7 @@
         base::wall_time late_at;    ///< a start after this time is too late for the objective
         base::wall_time expires_at; ///< from then on the job earns nothing
         base::time_point not_before;
+        base::time_point next_look;        ///< see `planner_settings::look_interval`
         base::time_point query_not_before; ///< for advice on workers that no call has named
         base::time_point isolates_until;   ///< see `planner_settings::isolation_wait`
         std::uint32_t refused_starts = 0;
@@ -192,6 +202,7 @@
     // Planning.
     void plan(base::time_point now);
     [[nodiscard]] base::duration planning_interval() const;
+    [[nodiscard]] base::duration look_interval(const ready_step& ready) const;
     /// Updates the entry of a worker in the list of candidates.
     void update_candidate(base::time_point now, const base::worker_id& id);
     /// Whether one task of the step may fit on some candidate, judging by processors only.
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -306,7 +306,10 @@
 
 void core_host_implementation::execute_decisions(base::time_point now)
 {
+    const auto started = base::boot_time();
     auto out = m_coordinator->take(now, wall(now));
+    const auto ended = base::boot_time();
+    m_coordinator->on_planning_time(ended, ended - started);
     for (const auto& [id, batch] : out.batches) {
         commit_batch(now, id, batch);
     }
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -465,6 +465,13 @@
     return std::min<base::duration>(wanted, settings.plan_interval_max);
 }
 
+void coordinator::on_planning_time(base::time_point now, base::duration took)
+{
+    const auto pause = std::chrono::duration<double, std::nano>{took} *
+                       (1 / m_settings.planner.max_planning_fraction - 1);
+    m_next_plan = std::max(m_next_plan, now + std::chrono::duration_cast<base::duration>(pause));
+}
+
 coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
 {
     collect_worker_output(now);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -91,8 +91,13 @@
             continue;
         }
         // Planning may remove the step.
-        const auto current = entry++;
-        unplaceable += plan_step(now, std::get<step_key>(*current)) ? 1 : 0;
+        const auto key = std::get<step_key>(*entry++);
+        if (now < m_ready.at(key).next_look) {
+            m_needs_planning = true;
+        }
+        else {
+            unplaceable += plan_step(now, key) ? 1 : 0;
+        }
     }
 }
 
@@ -111,6 +116,12 @@
     }
 }
 
+base::duration coordinator::look_interval(const ready_step& ready) const
+{
+    return ready.priority == 0 ? base::duration{0}
+                               : base::duration{m_settings.planner.look_interval};
+}
+
 bool coordinator::plan_step(base::time_point now, const step_key& planned)
 {
     const auto key = planned;
@@ -133,8 +144,12 @@
     if (waits_for_gang || m_advice.is_first_call_open(key)) {
         return false;
     }
-    release_reservation(key);
+    const bool is_call_open = m_advice.is_call_open(key);
+    if (!is_call_open) {
+        release_reservation(key);
+    }
     if (!may_fit(step)) {
+        ready.next_look = now + look_interval(ready);
         return true;
     }
     const auto chosen = assign(now, step, ticket_rule::valid);
@@ -146,12 +161,18 @@
         waiting += task.placed || task.done || is_planned ? 0 : 1;
     }
     if (waiting == 0) {
+        release_reservation(key);
         remove_ready_step(key);
         return false;
     }
+    if (chosen.empty()) {
+        ready.next_look = now + look_interval(ready);
+    }
     // A step that waits for advice doesn't mean that there is no capacity for others.
-    const bool waits_for_advice = advice_for(job->spec) != nullptr &&
-                                  request_missing_advice(now, step, ready) == advice_wait::open;
+    const bool waits_for_advice =
+        is_call_open ? m_reserved.contains(key)
+                     : advice_for(job->spec) != nullptr &&
+                           request_missing_advice(now, step, ready) == advice_wait::open;
     return chosen.empty() && !waits_for_advice;
 }
 
@@ -338,7 +359,8 @@
     std::vector<candidate_worker*> out;
     for_each_allowed(now, step, rule, [&](candidate_worker& one) {
         const auto& info = *one.info;
-        if (info.pool == step.pool && booked.fits_in(one.free) &&
+        // The comparison that rules out most candidates of a busy fleet comes first.
+        if (booked.fits_in(one.free) && info.pool == step.pool &&
             step.spec.size.fits_in(info.capacity) && (rack == nullptr || info.rack == *rack) &&
             has_label(info, step.spec.required_label)) {
             out.push_back(&one);
--- a/src/jobs/planning_advice.cpp
+++ b/src/jobs/planning_advice.cpp
@@ -45,19 +45,14 @@
     m_reserved.erase(found);
 }
 
-// Requests tickets for the workers on which the step would fit. If it fits on no allowed worker,
-// requests advice on the workers that no call has named yet.
+// Call it when no call about the step is open. Requests tickets for the workers on which the step
+// would fit. If it fits on no allowed worker, requests advice on the workers that no call has named
+// yet.
 coordinator::advice_wait coordinator::request_missing_advice(base::time_point now,
                                                              const planned_step& step,
                                                              ready_step& ready)
 {
     const auto wanted = assign(now, step, ticket_rule::any);
-    if (m_advice.is_call_open(step.key)) {
-        if (!wanted.empty()) {
-            reserve(now, step, wanted);
-        }
-        return wanted.empty() ? advice_wait::none : advice_wait::open;
-    }
     const auto& policy = *advice_for(step.job.spec);
     if (wanted.empty()) {
         if (now >= ready.query_not_before) {
--- a/tests/jobs/load_test.cpp
+++ b/tests/jobs/load_test.cpp
@@ -27,6 +27,7 @@
     CPPUNIT_TEST(burst_beyond_capacity_later_lookups_are_in_time);
     CPPUNIT_TEST(burst_just_ended_fresh_lookups_end_soon);
     CPPUNIT_TEST(wide_gang_among_lookups_is_placed);
+    CPPUNIT_TEST(planning_slow_leaves_time_for_other_work);
     CPPUNIT_TEST(worker_partitioned_receives_few_lookups);
     CPPUNIT_TEST(all_starts_slow_lookups_still_start);
     CPPUNIT_TEST(leader_changes_in_burst_lookups_go_on);
@@ -101,6 +102,22 @@
                              std::string{name_of(cell.records.find(gang.id)->state)});
     }
 
+    // A planning pass that takes 20 ms, as over a large backlog. Guards against a leader that only
+    // plans: the next pass comes when planning has had a fifth of the time, and no later.
+    void planning_slow_leaves_time_for_other_work()
+    {
+        sim_cell cell{10, {.workers = 4}};
+        cell.run_for(1s);
+        cell.leader->on_planning_time(cell.now, 20ms);
+        const auto planned = cell.now;
+        cell.submit(lookup(1, 5'000));
+        cell.run_for(planned + 78ms - cell.now);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.leader->planned_run_count());
+        CPPUNIT_ASSERT(!cell.records.find(job_number{1})->was_placed);
+        cell.run_for(40ms);
+        CPPUNIT_ASSERT(cell.records.find(job_number{1})->was_placed);
+    }
+
     // Small lookups, all of which fit on the partitioned worker. The loss of a lookup placed there
     // is only detected when the lease expires, too late for the caller. Guards against placing
     // further lookups there until a hold has timed out.
