--- a/tests/adapter/worker_messages_test.cpp
+++ b/tests/adapter/worker_messages_test.cpp
@@ -155,7 +155,7 @@
         fields[std::string{field}] = value;
         std::string out;
         for (const auto& [name, text] : fields) {
-            out += (out.empty() ? "{\"" : ",\"") + name + "\":" + text;
+            out.append(out.empty() ? "{\"" : ",\"").append(name).append("\":").append(text);
         }
         return out + "}";
     }
