--- a/src/daemon/storage_thread.cpp
+++ b/src/daemon/storage_thread.cpp
@@ -125,10 +125,11 @@
     m_snapshot = std::move(snapshot);
     const bool has_begun = write_snapshot([this] {
         auto writer = m_store->begin_snapshot(m_snapshot->meta);
-        if (writer.ok()) {
+        auto status = writer.status();
+        if (status.ok()) {
             m_snapshot->writer = *std::move(writer);
         }
-        return writer.status();
+        return status;
     });
     // The log continues after an installed snapshot, so no other request may be handled before it
     // is complete.
