Name the callers' time limit in a test after what it is

Cause: a figurative name. Change: patience becomes caller_timeout in retry_policy_test; no value, check or bound changes. Measured: controlplane_test passes.

--- a/tests/controlplane/retry_policy_test.cpp
+++ b/tests/controlplane/retry_policy_test.cpp
@@ -27,7 +27,7 @@
     /// Returns the fraction of the calls made in [from, until) that were answered in time.
     double answered_between(milliseconds from, milliseconds until)
     {
-        while (m_now < until + patience) {
+        while (m_now < until + caller_timeout) {
             make_calls(m_now < until);
             serve();
             expire();
@@ -45,7 +45,7 @@
 
 private:
     static constexpr std::size_t entry_count = 100;
-    static constexpr milliseconds patience = 3s; ///< of a caller
+    static constexpr milliseconds caller_timeout = 3s;
     static constexpr milliseconds outage_begin = 5s;
     static constexpr milliseconds outage_end = 7s;
     /// The leader serves five calls in the time in which four are made.
@@ -78,7 +78,7 @@
     void send(std::size_t number)
     {
         auto& sent = m_calls[number];
-        const auto remaining = sent.made_at + patience - m_now;
+        const auto remaining = sent.made_at + caller_timeout - m_now;
         sent.sent_at = m_now;
         ++sent.attempts;
         m_queue.push_back({number, sent.attempts});
@@ -116,7 +116,7 @@
                 continue;
             }
             auto& policy = m_entries[expired.entry];
-            const bool has_time = m_now < expired.made_at + patience;
+            const bool has_time = m_now < expired.made_at + caller_timeout;
             if (has_time) {
                 policy.on_timeout();
             }
