--- a/review/harness.py
+++ b/review/harness.py
@@ -179,6 +179,7 @@
         self.hosts = [Host(self, i + 1) for i in range(hosts)]
         self.runners = []
         self.observer = None  # is told of every start, end and acknowledged end
+        self.gangs = {}  # (step, attempt) -> {task: runner} of the members that are present
 
     def start_all(self):
         for host in self.hosts:
@@ -322,7 +323,7 @@
 
 class Runner:
     """One machine with its runner, as PROTOCOL.md describes it ("Running tasks", "Service discovery"). The first
-    word of `spec` is the seconds that a task runs. `advertised` is the address that it names in its heartbeats."""
+    word of `spec` is the seconds that a task works, 0 for a task that lasts; "gang N" after it makes it one of N. `advertised` is the address that it names in its heartbeats."""
 
     def __init__(self, deployment, number, cores=64, labels=("a", "r1-1"), advertised=None):
         self.deployment, self.number = deployment, number
@@ -367,13 +368,24 @@
         self.server.close()
         for writer in list(self.writers):
             writer.close()
-        for task in list(self.runs):
+        for task, run in list(self.runs.items()):
+            self.leave_gang(task, run, "crashed")
             self.observer.on_end(self, task, "crashed")
             self.record.write(f"{self.id}: {task} ends with the process")
         self.runs = {}
         self.record.write(f"{self.id}: crashes")
         self.changed.set()
 
+    async def close(self):
+        self.is_up = False
+        for task in self.tasks:
+            task.cancel()
+        self.server.close()
+        for writer in list(self.writers):
+            writer.transport.abort()
+        self.changed.set()
+        await asyncio.sleep(0)
+
     async def restart(self, new_id=True):
         self.begin_instance(new_id)
         await self.start()
@@ -405,11 +417,16 @@
         for task, run in list(self.runs.items()):
             if run["stop_at"] and now >= run["stop_at"]:
                 self.end(task, "stopped")
-            elif run["end_at"] and now >= run["end_at"]:
+            elif run["broken_at"] and now >= run["broken_at"]:
+                self.end(task, "broken")
+            elif run["begin"] is None and now >= run["alone_at"]:
+                self.end(task, "alone")
+            elif run["begin"] is not None and run["seconds"] and now >= run["begin"] + run["seconds"]:
                 self.end(task, "done")
 
     def end(self, task, how):
         run = self.runs.pop(task)
+        self.leave_gang(task, run, how)
         self.last_end += 1
         self.barred[task] = max(self.barred.get(task, 0), run["attempt"])
         self.ends.append([self.last_end, task, run["attempt"], how, ""])
@@ -418,6 +435,17 @@
         self.observer.on_end(self, task, how, self.last_end)
         self.changed.set()
 
+    def leave_gang(self, task, run, how):
+        """The other members end as `broken`, or as `done` if this one did."""
+        members = self.deployment.gangs.get(run["gang"], {})
+        members.pop(task, None)
+        for member, runner in list(members.items()):
+            other = runner.runs.get(member)
+            if other and how == "done":
+                other["seconds"] = 0.001
+            elif other and run["begin"] is not None and not other["broken_at"]:
+                other["broken_at"] = time.monotonic() + 0.1
+
     async def serve(self, reader, writer):
         self.writers.add(writer)
         born = self.born
@@ -469,9 +497,20 @@
         self.extend(body["deadlineMs"])
         if self.barred.get(task, 0) >= attempt or task in self.runs:
             return 409, dict(answer, reason="old")
-        seconds = float(body["spec"].split()[0])
-        self.runs[task] = {"attempt": attempt, "end_at": time.monotonic() + seconds if seconds else None,
-                           "stop_at": None, "begin": time.monotonic()}
+        words = body["spec"].split()
+        run = {"attempt": attempt, "seconds": float(words[0]), "stop_at": None, "broken_at": None,
+               "gang": (task.rsplit(".", 1)[0], attempt) if "gang" in words else None,
+               "alone_at": time.monotonic() + GANG_TIMEOUT_S}
+        self.runs[task] = run
+        if run["gang"]:
+            members = self.deployment.gangs.setdefault(run["gang"], {})
+            members[task] = self
+            run["begin"] = None
+            if len(members) == int(words[words.index("gang") + 1]):
+                for member, runner in members.items():
+                    runner.runs[member]["begin"] = time.monotonic()
+        else:
+            run["begin"] = time.monotonic()
         self.record.write(f"{self.id}: start {task} attempt {attempt}")
         self.observer.on_start(self, task, attempt)
         return 200, answer
@@ -518,9 +557,9 @@
 
     @staticmethod
     def percent(run, now):
-        if run["end_at"] is None:
-            return 100
-        return int(100 * (now - run["begin"]) / max(run["end_at"] - run["begin"], 0.001))
+        if run["begin"] is None:
+            return 0
+        return min(100, int(100 * (now - run["begin"]) / run["seconds"])) if run["seconds"] else 100
 
 
 class Proxy:
@@ -557,8 +596,9 @@
                 await writer.drain()
         except OSError:
             pass
-        finally:
-            writer.close()
+        while self.is_cut:
+            await asyncio.sleep(0.05)
+        writer.close()
 
 
 def run(play, folder, hosts=4):
@@ -574,11 +614,16 @@
 
     async def main():
         deployment.start_all()
-        return await asyncio.wait_for(play(deployment, trouble), 110)
+        try:
+            return await asyncio.wait_for(play(deployment, trouble), 110)
+        finally:
+            for runner in deployment.runners:
+                await runner.close()
 
     code = CANNOT_RUN
     try:
-        if asyncio.run(main()) is not False:
+        # The loop isn't closed: the process ends with the case.
+        if asyncio.new_event_loop().run_until_complete(main()) is not False:
             code = BROKEN if record.broken else HELD
     except Exception as error:  # the case couldn't run
         record.write(f"the case couldn't run: {error!r}")
@@ -589,5 +634,5 @@
     verdict = {HELD: "the rule held", BROKEN: f"the rule was broken ({len(record.broken)} times)",
                CANNOT_RUN: "the case couldn't run"}[code]
     record.write(verdict)
-    print(verdict)
-    sys.exit(code)
+    print(verdict, flush=True)
+    os._exit(code)
