--- a/review/harness.py
+++ b/review/harness.py
@@ -147,6 +147,8 @@
         else:
             out["callers"] = f"{self.address}:{CALLERS}"
             out["readiness"] = f"{self.address}:{READY}"
+            if self.deployment.adviser:
+                out["advice_service"] = "%s:%d" % self.deployment.adviser.address
             out["metrics"] = f"{self.address}:19465"
         return out
 
@@ -173,6 +175,7 @@
 
     def __init__(self, record, hosts=4):
         self.record = record
+        self.adviser = None  # set before the processes start, where queues have a placement adviser
         self.net = choose_network()
         self.folder = tempfile.mkdtemp(prefix="lovagebeam-review-")
         self.seeds = [f"127.{self.net}.1.{i + 1}:{CONTROL}" for i in range(min(hosts, 3))]
@@ -336,6 +339,7 @@
         self.server = None
         self.writers = set()
         self.tasks = []
+        self.needs_ticket = False  # whether the queue of its tasks has a placement adviser
         self.hold_filter = None  # may delay or drop a call: async function(runner, path, body) -> answer or None
         self.is_up = False
         self.begin_instance(new_id=True)
@@ -495,6 +499,9 @@
         if body["deadlineMs"] <= self.clock():
             return 409, dict(answer, reason="late")
         self.extend(body["deadlineMs"])
+        if self.needs_ticket and body.get("ticket") != ticket_for(task.rsplit(".", 1)[0], self.id):
+            self.record.write(f"{self.id}: start {task} attempt {attempt} rejected: no valid ticket")
+            return 409, dict(answer, reason="ticket")
         if self.barred.get(task, 0) >= attempt or task in self.runs:
             return 409, dict(answer, reason="old")
         words = body["spec"].split()
@@ -562,6 +569,38 @@
         return min(100, int(100 * (now - run["begin"]) / run["seconds"])) if run["seconds"] else 100
 
 
+def ticket_for(step, runner_id):
+    return f"{step}-{runner_id}"
+
+
+class Adviser:
+    """The service that gives tickets. It allows every runner that a call names."""
+
+    def __init__(self, deployment, decision_ms, period_ms):
+        self.address = (f"127.{deployment.net}.200.1", 8182)
+        self.decision_ms, self.period_ms = decision_ms, period_ms
+
+    async def start(self):
+        await asyncio.start_server(self.serve, *self.address)
+
+    async def serve(self, reader, writer):
+        try:
+            while True:
+                message = await read_message(reader)
+                if message is None:
+                    return
+                body = json.loads(message[2])
+                await asyncio.sleep((self.decision_ms + self.period_ms * len(body["workers"])) / 1000)
+                # A step is named ID.K.STEP, as in the names of its tasks.
+                rows = [[worker, ticket_for(body["step"], worker)] for worker in body["workers"]]
+                writer.write(encode_response(200, {"allowed": rows}))
+                await writer.drain()
+        except OSError:
+            pass
+        finally:
+            writer.close()
+
+
 class Proxy:
     """Forwards connections to a runner. `is_cut` holds all bytes back in both directions, silently."""
 
@@ -601,8 +640,9 @@
         writer.close()
 
 
-def run(play, folder, hosts=4):
-    """Runs `play(deployment, trouble)`, which returns False if the case couldn't run. Exits with 1 if a rule was
+def run(play, folder, hosts=4, prepare=None):
+    """Runs `play(deployment, trouble)`, which returns False if the case couldn't run. `prepare` is called before the
+    processes start. Exits with 1 if a rule was
     broken, with 0 if not, and with 2 if the case couldn't run."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -613,6 +653,8 @@
     deployment.observer = Observer(record)
 
     async def main():
+        if prepare:
+            await prepare(deployment)
         deployment.start_all()
         try:
             return await asyncio.wait_for(play(deployment, trouble), 110)
