--- a/review/5/case.py
+++ b/review/5/case.py
@@ -1,4 +1,4 @@
-"""One of eight runners loses its power. The jobs that were to start there haven't begun, but aren't counted as pending."""
+"""One of sixteen runners loses its power for good. Jobs that were to start there aren't counted as pending."""
 
 import asyncio
 import os
@@ -9,7 +9,7 @@
 sys.path.insert(0, os.path.dirname(FOLDER))
 import harness
 
-RUNNERS, JOBS, FILL_S = 8, 12, 40
+RUNNERS, JOBS, FILL_S = 16, 12, 40
 VISIBLE_S = 3.0
 FILL = "/batch/00000000000000d0"
 
@@ -28,7 +28,7 @@
     if not await deployment.wait_until_ready(deployment.runners):
         return False
     await asyncio.sleep(2)
-    # Fills seven of the eight runners.
+    # Fills all runners but one.
     body = {"spec": f"{FILL_S}", "phases": [{"count": 4 * (RUNNERS - 1), "cpu": 16000, "memoryRequestMb": 1024,
                                            "estimatedMs": FILL_S * 1000}]}
     if not await deployment.submit(FILL, body):
