Keep runs that an incomplete list of ends doesn't name

For work that must not be repeated this is the worst outcome there is.

Cause: a worker lists at most 500 ends in one answer. `worker_table::resolve_placements` took every run that was neither running nor listed for lost, so the ends after the 500th counted as runs that the worker had forgotten, and their tasks were placed again. The cut only let the ends pile up; the first lists for a new leader and late starts of an earlier instance were settled in the same place.

The log showed these runs as `how=lost` only; `ends_listed_in_part` now names the worker, the ends and the cursor.

Change: `hold_answer::may_lack_ends`, decoded in platform/ and carried between core processes. Runs that such an answer doesn't name keep their placement. It works since the listed ends are committed, the cursor passes them, and the next hold, sent at once, lists the rest, until a list is complete. The conversion of relayed answers moves to relay_messages, so that it can be tested.

Tests: the simulated workers list 500 ends at a time now. The three tests `worker_lists_ends_in_parts_...` failed before the fix with TWICE ("started at 5128 ms, but attempt 1 was done at 3880 ms and its end is acknowledged") and pass with it.

--- a/include/lovagebeam/jobs/orders.h
+++ b/include/lovagebeam/jobs/orders.h
@@ -103,7 +103,10 @@
     worker_time clock{};
     base::wall_time started_at;
     std::vector<running_row> running;
-    std::vector<finished_row> finished;
+    std::vector<finished_row> finished; ///< the ends after the cursor, lowest numbers first
+    /// Whether the worker may have further ends, which it lists once the cursor has passed these. A
+    /// run that is in neither list may then have ended in any way.
+    bool may_lack_ends = false;
 };
 
 enum class hold_outcome {
--- a/src/controlplane/worker_relay.cpp
+++ b/src/controlplane/worker_relay.cpp
@@ -3,6 +3,8 @@
 #include "lovagebeam/base/clock.h"
 #include "lovagebeam/telemetry/log.h"
 
+#include "relay_messages.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,24 +26,6 @@
 /// How long a core process that lost an order gets no further ones.
 constexpr std::chrono::seconds suspension_period{2};
 
-pb::RelayRun to_proto(const jobs::run_key& run)
-{
-    pb::RelayRun out;
-    out.set_job(run.task.job.value());
-    out.set_occurrence(run.task.occurrence);
-    out.set_step(run.task.step);
-    out.set_index(run.task.index);
-    out.set_attempt(run.attempt);
-    return out;
-}
-
-jobs::run_key from_proto(const pb::RelayRun& message)
-{
-    return {
-        {jobs::job_number{message.job()}, message.occurrence(), message.step(), message.index()},
-        message.attempt()};
-}
-
 pb::RelayOrder make_order(const jobs::worker_address& to, jobs::fencing_token token)
 {
     pb::RelayOrder out;
@@ -61,12 +45,6 @@
     return order.has_stop() ? "stop" : "hold";
 }
 
-jobs::worker_address from_proto(const pb::RelayTarget& message)
-{
-    return {base::worker_id{message.worker()}, base::wall_time{milliseconds{message.born_ms()}},
-            message.address(), static_cast<std::uint16_t>(message.port())};
-}
-
 jobs::start_order start_from(const pb::RelayOrder& message)
 {
     jobs::start_order out;
@@ -93,45 +71,6 @@
     return out;
 }
 
-void write(const jobs::hold_answer& answer, pb::RelayOutcome& out)
-{
-    out.set_clock_ms(answer.clock.count());
-    out.set_born_ms(answer.started_at.time_since_epoch().count());
-    for (const auto& row : answer.running) {
-        auto& record = *out.add_running();
-        *record.mutable_run() = to_proto(row.run);
-        record.set_checkpoint(row.checkpoint);
-        record.set_percent(row.percent);
-        if (row.figure) {
-            record.set_figure(*row.figure);
-        }
-    }
-    for (const auto& row : answer.finished) {
-        auto& record = *out.add_finished();
-        record.set_number(row.number);
-        *record.mutable_run() = to_proto(row.run);
-        record.set_how(static_cast<std::uint32_t>(row.how));
-        record.set_checkpoint(row.checkpoint);
-    }
-}
-
-jobs::hold_answer hold_answer_from(const pb::RelayOutcome& message)
-{
-    jobs::hold_answer out;
-    out.clock = jobs::worker_time{message.clock_ms()};
-    out.started_at = base::wall_time{milliseconds{message.born_ms()}};
-    for (const auto& record : message.running()) {
-        out.running.push_back(
-            {from_proto(record.run()), record.checkpoint(), record.percent(),
-             record.has_figure() ? std::optional{record.figure()} : std::nullopt});
-    }
-    for (const auto& record : message.finished()) {
-        out.finished.push_back({record.number(), from_proto(record.run()),
-                                static_cast<jobs::end_kind>(record.how()), record.checkpoint()});
-    }
-    return out;
-}
-
 } // namespace
 
 worker_relay::worker_relay(worker_port& workers, daemon::peer_links& links,
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -67,6 +67,12 @@
     worker.clock_read = now;
     read_finished(worker, now, answer);
     read_running(worker, now, answer);
+    if (answer.may_lack_ends) {
+        m_out.log_entries.push_back(
+            {"ends_listed_in_part", std::nullopt,
+             absl::StrCat("worker=", worker.info.id.str(), " ends=", answer.finished.size(),
+                          " last=", worker.last_listed_end, " committed=", worker.cursor)});
+    }
     resolve_placements(worker, now, sent, answer);
     worker.next_hold = worker.last_listed_end > worker.cursor ? now + m_settings.end_commit_timeout
                                                               : base::time_point{};
@@ -166,8 +172,9 @@
     send_stop(worker, now, row.run);
 }
 
-// A run that the lists lack and that can't begin any more has ended without a report or never
-// began.
+// A run that complete lists lack and that can't begin any more has ended without a report or never
+// began. Lists that may lack ends say nothing about the runs that they don't name: the rest follows
+// once these ends are committed.
 void worker_table::resolve_placements(entry& worker, base::time_point now, base::time_point sent,
                                       const hold_answer& answer)
 {
@@ -181,6 +188,9 @@
             }
             continue;
         }
+        if (answer.may_lack_ends) {
+            continue;
+        }
         if (task.worker_started_at != worker.info.started_at) {
             resolve_other_instance(worker, now, sent, run);
             continue;
--- a/tests/adapter/worker_messages_test.cpp
+++ b/tests/adapter/worker_messages_test.cpp
@@ -20,6 +20,7 @@
     CPPUNIT_TEST(task_name_round_trip_gives_the_same_task);
     CPPUNIT_TEST(task_name_malformed_is_rejected);
     CPPUNIT_TEST(hold_answer_with_rows_is_read);
+    CPPUNIT_TEST(hold_answer_with_full_list_of_ends_may_lack_some);
     CPPUNIT_TEST(hold_answer_with_malformed_row_is_rejected);
     CPPUNIT_TEST(heartbeat_valid_is_read);
     CPPUNIT_TEST(heartbeat_malformed_is_rejected);
@@ -60,6 +61,23 @@
         CPPUNIT_ASSERT(jobs::end_kind::done == answer->finished.at(0).how);
     }
 
+    // Guards against taking a list that is cut off at its greatest length for a complete one.
+    void hold_answer_with_full_list_of_ends_may_lack_some()
+    {
+        for (const auto& [ends, may_lack_ends] : {std::pair{499, false}, std::pair{500, true}}) {
+            std::string rows;
+            for (int number = 1; number <= ends; ++number) {
+                rows.append(number == 1 ? "[" : ",[")
+                    .append(std::to_string(number))
+                    .append(R"(,"5c0e7a21d94b36f8.0.1.9",1,"done",""])");
+            }
+            const auto answer =
+                decode_hold(R"({"clockMs":1,"finished":[)" + rows + "]}", base::wall_time{});
+            CPPUNIT_ASSERT(answer.ok());
+            CPPUNIT_ASSERT_EQUAL(may_lack_ends, answer->may_lack_ends);
+        }
+    }
+
     // Guards against a process that ends, or a fleet whose sums overflow, because of one odd entry
     // among the registrations of the workers.
     void heartbeat_deeply_nested_is_rejected()
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -15,6 +15,8 @@
 
 constexpr auto gang_start_timeout = 3s;
 constexpr worker_time longest_lease{6'000};
+/// A worker lists this many ends at a time.
+constexpr std::size_t max_listed_ends = 500;
 
 } // namespace
 
@@ -50,8 +52,11 @@
         out.running.push_back({run, "", state.percent(now), std::nullopt});
     }
     for (const auto& end : worker.ends) {
-        out.finished.push_back(end.row);
+        if (out.finished.size() < max_listed_ends) {
+            out.finished.push_back(end.row);
+        }
     }
+    out.may_lack_ends = out.finished.size() == max_listed_ends;
     return hold_outcome::answered;
 }
 
--- a/tests/jobs/worker_table_test.cpp
+++ b/tests/jobs/worker_table_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <string>
+#include <vector>
 
 namespace {
 
@@ -23,10 +24,50 @@
     return job;
 }
 
+constexpr std::uint32_t small_task_count = 600;
+
+/// More tasks than a worker lists ends at a time; all fit on one worker.
+job_spec many_small_tasks()
+{
+    auto job = simple_job(1, small_task_count, 100);
+    job.steps[0].size.memory_mb = 64;
+    job.steps[0].estimate = 2s;
+    return job;
+}
+
+/// The worker that has all running tasks of the cell.
+base::worker_id only_worker_with_tasks(const sim_cell& cell)
+{
+    std::vector<base::worker_id> found;
+    for (const auto& [id, worker] : cell.workers) {
+        if (!worker.runs.empty()) {
+            found.push_back(id);
+        }
+    }
+    CPPUNIT_ASSERT_EQUAL(std::size_t{1}, found.size());
+    CPPUNIT_ASSERT_EQUAL(std::size_t{small_task_count}, cell.workers.at(found.front()).runs.size());
+    return found.front();
+}
+
+void check_all_done_once(sim_cell& cell)
+{
+    cell.check_acknowledged_ends();
+    CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(),
+                           cell.violations.empty());
+    const auto& job = *cell.records.find(job_number{1});
+    CPPUNIT_ASSERT_EQUAL(std::string{"completed"}, std::string{name_of(job.state)});
+    for (const auto& task : job.steps.at(0).tasks) {
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, task.attempt);
+    }
+}
+
 class worker_table_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(worker_table_test);
     CPPUNIT_TEST(worker_lost_for_good_tasks_run_elsewhere);
     CPPUNIT_TEST(worker_partitioned_task_waits_for_lease_expiry);
+    CPPUNIT_TEST(worker_lists_ends_in_parts_tasks_run_once);
+    CPPUNIT_TEST(worker_lists_ends_in_parts_to_next_leader_tasks_run_once);
+    CPPUNIT_TEST(worker_lists_ends_in_parts_unstarted_tasks_run_later);
     CPPUNIT_TEST(worker_silent_its_tasks_are_not_suspected);
     CPPUNIT_TEST(worker_silent_under_suspected_task_counts_as_possible_crash);
     CPPUNIT_TEST(worker_leaves_its_tasks_are_not_suspected);
@@ -68,6 +109,56 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
     }
 
+    // Guards against a second run of tasks that ended on a partitioned worker, whose first lists
+    // after that lack some of the ends.
+    void worker_lists_ends_in_parts_tasks_run_once()
+    {
+        sim_cell cell{10, {.workers = 3}};
+        cell.submit(many_small_tasks());
+        cell.run_for(800ms);
+        auto& worker = cell.workers.at(only_worker_with_tasks(cell));
+        worker.is_partitioned = true;
+        cell.run_for(4s);
+        CPPUNIT_ASSERT(worker.runs.empty());
+        worker.is_partitioned = false;
+        cell.run_for(3s);
+        check_all_done_once(cell);
+    }
+
+    // The same with a leader that took over after the ends and sent none of the starts.
+    void worker_lists_ends_in_parts_to_next_leader_tasks_run_once()
+    {
+        sim_cell cell{11, {.workers = 3}};
+        cell.submit(many_small_tasks());
+        cell.run_for(800ms);
+        auto& worker = cell.workers.at(only_worker_with_tasks(cell));
+        worker.is_partitioned = true;
+        cell.change_leader();
+        cell.run_for(4s);
+        worker.is_partitioned = false;
+        cell.run_for(3s);
+        check_all_done_once(cell);
+    }
+
+    // Guards against tasks that wait for ever for a worker that never started them, since its lists
+    // were incomplete when they should have told.
+    void worker_lists_ends_in_parts_unstarted_tasks_run_later()
+    {
+        sim_cell cell{12, {.workers = 1}};
+        cell.submit(many_small_tasks());
+        cell.run_for(800ms);
+        auto& worker = cell.workers.at(only_worker_with_tasks(cell));
+        auto later = simple_job(2, 10, 1'000);
+        cell.submit(later);
+        worker.is_partitioned = true;
+        cell.run_for(4s);
+        worker.is_partitioned = false;
+        cell.run_for(12s);
+        check_all_done_once(cell);
+        CPPUNIT_ASSERT_EQUAL(std::string{"completed"},
+                             std::string{name_of(cell.records.find(later.id)->state)});
+    }
+
     // Guards against taking the silence of a worker for a crash that one of its tasks caused.
     void worker_silent_its_tasks_are_not_suspected()
     {
