Count jobs as pending until a worker has confirmed a start

They had been placed on a worker that had just lost its power, and none of them began, neither before nor after these placements ended. Their state was `running` all the while.

Cause: `ledger::place` took a job off the count and set its state to `running`. A placement is the scheduler's decision; whether a task began is known once a worker says so. Nothing took the decrement back when the placement ended.

The log had no line between `tasks_placed` and `run_ended`; `job_begun` and the metric `lovagebeam_pending_jobs` tell them apart now.

Change: the worker table reports each confirmed start (an answer, or a run in one of the worker's lists), and the leader commits the first one of each job (`BeginJobs`) with the next batch, or after 0.2 s.

`was_placed`, which load_test and wide_gang_test read, is now computed by sim_cell from the attempts of the tasks, with the same meaning.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -62,6 +62,9 @@
     /// Tasks that may crash their worker are kept off workers that were started less than this
     /// long ago: the worker itself may be the one that crashes again.
     milliseconds fresh_worker{10'000};
+    /// How long the first confirmed start of a job may wait for a batch to be committed with. The
+    /// published count of pending jobs may be 2 s old.
+    milliseconds begin_commit_delay{200};
     /// A scheduled occurrence is not started before its time plus this margin for clock error.
     milliseconds due_margin{20};
 };
@@ -196,6 +199,10 @@
     void stop_job(base::time_point now, const job_record& job);
     void send_start(base::time_point now, const run_key& run);
     void collect_worker_output(base::time_point now);
+    void on_start_confirmed(base::time_point now, const worker_table::confirmed_start& start);
+    /// Adds the jobs that have begun to a batch that is to be committed anyway, or to one of their
+    /// own after a while.
+    void add_begun_jobs(base::time_point now);
     void add_due_steps(base::wall_time wall);
     proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
 
@@ -313,6 +320,9 @@
     proto::jobs::Batch m_batch;
     std::uint64_t m_last_batch = 0;
     std::vector<worker_table::cursor_move> m_cursors; ///< of the next batch
+    std::set<job_number> m_begun;           ///< have begun, and the ledger doesn't have it yet
+    std::vector<job_number> m_unsent_begun; ///< those of them that are in no batch yet
+    base::time_point m_begun_due;           ///< when a batch for them is made
     std::map<std::uint64_t, std::vector<worker_table::cursor_move>> m_batch_cursors;
     base::time_point m_last_forget;
     bool m_needs_planning = true; ///< a change may allow a task to start
--- a/include/lovagebeam/jobs/ledger.h
+++ b/include/lovagebeam/jobs/ledger.h
@@ -41,7 +41,7 @@
     base::wall_time accepted;
     base::wall_time ended; ///< once the state is final
     job_state state = job_state::queued;
-    bool was_placed = false;
+    bool has_begun = false;         ///< a worker has confirmed the start of a task
     std::uint32_t placed = 0;       ///< number of tasks that hold capacity
     std::vector<step_record> steps; ///< by occurrence, then step
 
@@ -95,9 +95,11 @@
     [[nodiscard]] const std::set<task_key>& suspects_on(const base::worker_id& worker) const;
     [[nodiscard]] size used_on(const base::worker_id& worker) const;
     [[nodiscard]] size used_by(const std::string& account) const;
-    /// Number of unfinished jobs of a queue none of whose tasks was ever placed. Jobs with
+    /// Number of unfinished jobs of a queue of which no worker has confirmed a start. Jobs with
     /// scheduled occurrences don't count.
     [[nodiscard]] std::uint64_t pending(std::string_view queue) const;
+    /// The sum over all queues.
+    [[nodiscard]] std::uint64_t pending() const;
 
     [[nodiscard]] std::uint64_t catalog_version() const { return m_catalog_version; }
     [[nodiscard]] const std::string& catalog_document() const { return m_catalog; }
@@ -106,6 +108,7 @@
     void apply(const proto::jobs::AcceptJob& operation);
     void apply(const proto::jobs::CancelJob& operation, base::wall_time now);
     void apply(const proto::jobs::PlaceTasks& operation);
+    void apply(const proto::jobs::BeginJobs& operation);
     void apply(const proto::jobs::EndTask& operation, base::wall_time now);
     void apply(const proto::jobs::PutWorker& operation);
     void apply(const proto::jobs::RemoveWorker& operation, base::wall_time now);
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -95,9 +95,16 @@
         base::wall_time started_at;
         std::uint64_t number = 0;
     };
+    /// A worker confirmed that a run began.
+    struct confirmed_start {
+        run_key run;
+        base::worker_id worker;
+    };
     struct output {
         std::vector<hold_order> holds;
         std::vector<stop_order> stops;
+        /// Starts of jobs of which the ledger has none yet; a run may be listed again.
+        std::vector<confirmed_start> confirmed_starts;
         std::vector<end_report> ends;
         std::vector<cursor_move> cursors;
         /// Workers for which the result of `is_usable` changed.
@@ -228,6 +235,7 @@
     void report_usability(entry& worker, base::time_point now);
     static void mark_answered(entry& worker, sent_start& start, base::time_point now);
     static void erase_start(entry& worker, const run_key& run);
+    void confirm_start(const entry& worker, const run_key& run);
     hold_order make_hold(entry& worker, base::time_point now);
     void send_hold(entry& worker, base::time_point now);
     void send_check(entry& worker, base::time_point now);
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -93,6 +93,7 @@
         .set(static_cast<double>(records.catalog_version()));
     m_registry.gauge_named("lovagebeam_open_jobs")
         .set(static_cast<double>(records.open_jobs().size()));
+    m_registry.gauge_named("lovagebeam_pending_jobs").set(static_cast<double>(records.pending()));
     double usable = 0;
     double draining = 0;
     double quarantined = 0;
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -140,6 +140,11 @@
         case pb::Operation::kPlace:
             on_placed(now, operation.place());
             break;
+        case pb::Operation::kBegin:
+            for (const auto id : operation.begin().jobs()) {
+                m_begun.erase(job_number{id});
+            }
+            break;
         case pb::Operation::kEnd:
             on_ended(now, operation.end());
             break;
@@ -414,6 +419,9 @@
         update_candidate(now, worker);
         m_needs_planning = true;
     }
+    for (const auto& start : output.confirmed_starts) {
+        on_start_confirmed(now, start);
+    }
     for (auto& end : output.ends) {
         auto& operation = *add_operation().mutable_end();
         *operation.mutable_task() = jobs::to_proto(end.run);
@@ -431,6 +439,34 @@
     std::ranges::move(output.log_entries, std::back_inserter(m_out.log_entries));
 }
 
+void coordinator::on_start_confirmed(base::time_point now,
+                                     const worker_table::confirmed_start& start)
+{
+    const auto id = start.run.task.job;
+    if (!m_begun.insert(id).second) {
+        return;
+    }
+    if (m_unsent_begun.empty()) {
+        m_begun_due = now + m_settings.planner.begin_commit_delay;
+    }
+    m_unsent_begun.push_back(id);
+    m_out.log_entries.push_back(
+        {"job_begun", id,
+         absl::StrCat("run=", format_run(start.run), " worker=", start.worker.str())});
+}
+
+void coordinator::add_begun_jobs(base::time_point now)
+{
+    const bool has_batch = m_batch.operations_size() > 0 || !m_cursors.empty();
+    if (m_unsent_begun.empty() || (!has_batch && now < m_begun_due)) {
+        return;
+    }
+    auto& operation = *add_operation().mutable_begin();
+    for (const auto id : std::exchange(m_unsent_begun, {})) {
+        operation.add_jobs(id.value());
+    }
+}
+
 void coordinator::tick(base::time_point now, base::wall_time wall)
 {
     m_workers.tick(now);
@@ -480,6 +516,7 @@
         m_next_plan = now + planning_interval();
         plan(now);
     }
+    add_begun_jobs(now);
     m_out.advice = m_advice.take(now);
     if (m_batch.operations_size() > 0 || !m_cursors.empty()) {
         const auto id = ++m_last_batch;
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -37,6 +37,11 @@
     return key.index < tasks.size() ? &tasks[key.index] : nullptr;
 }
 
+bool is_pending(const job_record& job)
+{
+    return !job.has_begun && !is_final(job.state) && job.spec.occurrences == 0;
+}
+
 const std::set<task_key>& tasks_of(const std::map<base::worker_id, std::set<task_key>>& by_worker,
                                    const base::worker_id& worker)
 {
@@ -82,6 +87,8 @@
         return apply(operation.cancel(), now);
     case pb::Operation::kPlace:
         return apply(operation.place());
+    case pb::Operation::kBegin:
+        return apply(operation.begin());
     case pb::Operation::kEnd:
         return apply(operation.end(), now);
     case pb::Operation::kPutWorker:
@@ -177,7 +184,7 @@
     if (!is_final(job.state) || job.placed > 0) {
         m_open.insert(job.spec.id);
     }
-    if (!job.was_placed && !is_final(job.state) && job.spec.occurrences == 0) {
+    if (is_pending(job)) {
         ++m_pending[job.spec.queue];
     }
 }
@@ -195,7 +202,7 @@
     if (is_final(job.state)) {
         return;
     }
-    if (!job.was_placed && job.spec.occurrences == 0) {
+    if (is_pending(job)) {
         --m_pending[job.spec.queue];
     }
     job.state = state;
@@ -249,14 +256,26 @@
     task.worker_started_at = from_ms(placement.born_ms());
     ++step.placed;
     ++job.placed;
-    if (!job.was_placed) {
-        job.was_placed = true;
-        if (job.spec.occurrences == 0) {
+    index_placement(job.spec, run.task, task);
+}
+
+// A placement is no sign that a job has begun: its worker may be gone.
+void ledger::apply(const pb::BeginJobs& operation)
+{
+    for (const auto id : operation.jobs()) {
+        const auto found = m_jobs.find(job_number{id});
+        if (found == m_jobs.end() || found->second.has_begun) {
+            continue;
+        }
+        auto& job = found->second;
+        if (is_pending(job)) {
             --m_pending[job.spec.queue];
         }
+        job.has_begun = true;
+        if (!is_final(job.state)) {
+            job.state = job_state::running;
+        }
     }
-    job.state = job_state::running;
-    index_placement(job.spec, run.task, task);
 }
 
 void ledger::index_placement(const job_spec& spec, const task_key& key, const task_record& task)
@@ -430,4 +449,13 @@
     return found == m_pending.end() ? 0 : found->second;
 }
 
+std::uint64_t ledger::pending() const
+{
+    std::uint64_t sum = 0;
+    for (const auto& [queue, count] : m_pending) {
+        sum += count;
+    }
+    return sum;
+}
+
 } // namespace lovagebeam::jobs
--- a/src/jobs/ledger_snapshot.cpp
+++ b/src/jobs/ledger_snapshot.cpp
@@ -49,7 +49,7 @@
     out.set_accepted_ms(job.accepted.time_since_epoch().count());
     out.set_ended_ms(job.ended.time_since_epoch().count());
     out.set_state(static_cast<std::uint32_t>(job.state));
-    out.set_was_placed(job.was_placed);
+    out.set_has_begun(job.has_begun);
     for (const auto& step : job.steps) {
         auto& record = *out.add_steps();
         record.set_failed_attempt(step.failed_attempt);
@@ -66,7 +66,7 @@
     out.accepted = base::wall_time{milliseconds{message.accepted_ms()}};
     out.ended = base::wall_time{milliseconds{message.ended_ms()}};
     out.state = static_cast<job_state>(message.state());
-    out.was_placed = message.was_placed();
+    out.has_begun = message.has_begun();
     for (const auto& record : message.steps()) {
         step_record step;
         step.failed_attempt = record.failed_attempt();
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -102,6 +102,7 @@
         }
         worker.last_listed_end = std::max(worker.last_listed_end, row.number);
         worker.stop_sent_at.erase(row.run);
+        confirm_start(worker, row.run);
         const auto* const task = m_ledger.find(row.run.task);
         if (task != nullptr && task->placed && task->attempt == row.run.attempt &&
             task->worker == worker.info.id) {
@@ -134,6 +135,7 @@
     worker.running.clear();
     for (const auto& row : answer.running) {
         worker.running.emplace(row.run, row);
+        confirm_start(worker, row.run);
         if (is_wanted(worker, row.run)) {
             watch_progress(worker, now, row);
             continue;
--- a/tests/jobs/load_test.cpp
+++ b/tests/jobs/load_test.cpp
@@ -113,9 +113,9 @@
         cell.submit(lookup(1, 5'000));
         cell.run_for(planned + 78ms - cell.now);
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.leader->planned_run_count());
-        CPPUNIT_ASSERT(!cell.records.find(job_number{1})->was_placed);
+        CPPUNIT_ASSERT(!cell.was_placed(job_number{1}));
         cell.run_for(40ms);
-        CPPUNIT_ASSERT(cell.records.find(job_number{1})->was_placed);
+        CPPUNIT_ASSERT(cell.was_placed(job_number{1}));
     }
 
     // Small lookups, all of which fit on the partitioned worker. The loss of a lookup placed there
@@ -164,7 +164,7 @@
         cell.run_for(cell.leading_since + 2'500ms - cell.now);
         int placed = 0;
         for (auto id = first_later; id < next; ++id) {
-            placed += cell.records.find(job_number{id})->was_placed ? 1 : 0;
+            placed += cell.was_placed(job_number{id}) ? 1 : 0;
         }
         CPPUNIT_ASSERT_MESSAGE(std::to_string(placed) + " of 400", placed >= 360);
         cell.run_for(20s);
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -474,6 +474,12 @@
     }
 }
 
+bool sim_cell::was_placed(job_number id) const
+{
+    return std::ranges::any_of(records.find(id)->steps.at(0).tasks,
+                               [](const auto& task) { return task.attempt > 0; });
+}
+
 bool sim_cell::all_jobs_ended() const
 {
     return records.open_jobs().empty();
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -115,6 +115,8 @@
     /// Checks that no task was started after an acknowledged end that rules it out. Call it at the
     /// end, because ends may be acknowledged after the start.
     void check_acknowledged_ends();
+    /// Whether a task of the job, which has one step, was ever placed.
+    [[nodiscard]] bool was_placed(job_number id) const;
     /// Whether every job has ended.
     [[nodiscard]] bool all_jobs_ended() const;
     std::shared_ptr<catalog> config;
--- a/tests/jobs/wide_gang_test.cpp
+++ b/tests/jobs/wide_gang_test.cpp
@@ -77,7 +77,7 @@
     {
         int placed = 0;
         for (std::uint64_t id = 1; id <= last_id; ++id) {
-            placed += cell.records.find(job_number{id})->was_placed ? 1 : 0;
+            placed += cell.was_placed(job_number{id}) ? 1 : 0;
         }
         return placed;
     }
