Never give up a long-running task because its workers crash

Cause: the ledger excepts long-running steps where it counts ends `failed`, but `judge_crash`, which came later, didn't know the kind of step. A service's task comes back to the same worker each time, so a bad worker looks like a task that crashes workers.

Change: `crashed_run::is_long_running`; such a run is suspected at most. It works since nothing but the verdict `caused` ends a job after crashes. Suspected tasks are still placed apart. Steps that end keep their limits.

Tests: `long_running_task_is_never_given_up` failed before the fix (caused instead of suspected), `worker_crashes_repeatedly_long_running_job_goes_on` too (failed instead of running).

--- a/include/lovagebeam/jobs/crash_attribution.h
+++ b/include/lovagebeam/jobs/crash_attribution.h
@@ -45,6 +45,7 @@
     std::optional<milliseconds> ran;
     bool is_gang_member = false;
     bool has_begun = true; ///< the worker confirmed it; otherwise the start may have been lost
+    bool is_long_running = false; ///< its task is started again however its runs end
 };
 
 enum class crash_verdict : std::uint8_t {
@@ -61,7 +62,7 @@
 /// A crash doesn't tell which run caused it. The task that had been under most crashes before is
 /// blamed if no other run was started after its own. Suspected tasks are placed apart from each
 /// other, so a sound one seldom meets both conditions again and again. The members of a gang are
-/// blamed together, as they succeed or fail together.
+/// blamed together, as they succeed or fail together. A long-running task is never given up.
 std::vector<crash_verdict> judge_crash(const crash_settings& settings,
                                        const std::vector<crashed_run>& runs);
 
--- a/src/jobs/crash_attribution.cpp
+++ b/src/jobs/crash_attribution.cpp
@@ -75,7 +75,8 @@
     auto crashes = run.earlier;
     ++crashes.count;
     crashes.confirmed += run.has_begun ? 1 : 0;
-    if (is_over_limit(crashes, run.failures) || is_blamed(settings, run, runs)) {
+    if (!run.is_long_running &&
+        (is_over_limit(crashes, run.failures) || is_blamed(settings, run, runs))) {
         return crash_verdict::caused;
     }
     return run.has_begun ? crash_verdict::suspected : crash_verdict::possible;
--- a/src/jobs/process_ends.cpp
+++ b/src/jobs/process_ends.cpp
@@ -44,7 +44,9 @@
             // Sent to a process that had ended.
             continue;
         }
-        ended.is_gang_member = m_ledger.find(key.job)->spec.steps[key.step].gang;
+        const auto& step = m_ledger.find(key.job)->spec.steps[key.step];
+        ended.is_gang_member = step.gang;
+        ended.is_long_running = step.long_running;
         ended.has_begun = is_current && has_begun(worker, ended.run);
         out.push_back(ended);
     }
@@ -87,9 +89,9 @@
 crash_verdict worker_table::judge_unseen(const run_key& run) const
 {
     const auto& task = *m_ledger.find(run.task);
-    return judge_crash(m_settings.crashes,
-                       {{run, task.crashes, task.failures, std::nullopt, false, false}})
-        .front();
+    crashed_run unseen{run, task.crashes, task.failures, std::nullopt, false, false};
+    unseen.is_long_running = m_ledger.find(run.task.job)->spec.steps[run.task.step].long_running;
+    return judge_crash(m_settings.crashes, {unseen}).front();
 }
 
 void worker_table::report_process_end(entry& worker, const run_key& run)
--- a/tests/jobs/crash_attribution_test.cpp
+++ b/tests/jobs/crash_attribution_test.cpp
@@ -26,6 +26,7 @@
     CPPUNIT_TEST(one_crash_confirmed_task_is_not_blamed);
     CPPUNIT_TEST(crashes_and_failures_task_is_given_up);
     CPPUNIT_TEST(gang_members_are_blamed_together);
+    CPPUNIT_TEST(long_running_task_is_never_given_up);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -129,6 +130,18 @@
         check({crash_verdict::caused, crash_verdict::caused});
     }
 
+    // Guards against a service that ends since the worker of one of its tasks crashes by itself
+    // again and again (review/2).
+    void long_running_task_is_never_given_up()
+    {
+        for (const std::uint32_t crashes : {2U, 3U, 10U}) {
+            m_runs.clear();
+            add(crashes, 12, 12);
+            m_runs[0].is_long_running = true;
+            check({crash_verdict::suspected});
+        }
+    }
+
 private:
     void add(std::uint32_t crashes, std::optional<int> last_ran, std::optional<int> ran)
     {
--- a/tests/jobs/crashing_task_test.cpp
+++ b/tests/jobs/crashing_task_test.cpp
@@ -22,6 +22,7 @@
     CPPUNIT_TEST(member_of_gang_crashes_its_workers_job_fails_within_budget);
     CPPUNIT_TEST(all_tasks_of_job_crash_their_workers_few_workers_crash);
     CPPUNIT_TEST(workers_crash_by_themselves_no_job_fails);
+    CPPUNIT_TEST(worker_crashes_repeatedly_long_running_job_goes_on);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -126,6 +127,31 @@
         }
     }
 
+    // A service with a task on each worker, one of which crashes every ten seconds. Guards against
+    // giving up the service because of that worker (review/2).
+    void worker_crashes_repeatedly_long_running_job_goes_on()
+    {
+        sim_cell cell{6, {.workers = 8}};
+        cell.has_faults = true;
+        auto service = simple_job(1, 8, 16'000);
+        service.steps[0].long_running = true;
+        service.steps[0].max_per_worker = 1;
+        service.steps[0].estimate = 10min;
+        cell.submit(service);
+        cell.run_for(3s);
+        const auto crashing = cell.workers.begin()->first;
+        for (int crash = 0; crash < 6; ++crash) {
+            cell.restart_worker(crashing, true);
+            cell.run_for(10s);
+            CPPUNIT_ASSERT_EQUAL(std::string{"running"},
+                                 std::string{name_of(cell.records.find(service.id)->state)});
+            for (const auto& [id, worker] : cell.workers) {
+                CPPUNIT_ASSERT_EQUAL_MESSAGE(id.str(), std::size_t{1}, worker.runs.size());
+            }
+        }
+        CPPUNIT_ASSERT(cell.violations.empty());
+    }
+
 private:
     static job_spec lookup(std::uint64_t id)
     {
