Restart a long-running gang however its runs end

One end `done` of a member had it shown as `completed`.

Cause: `ledger::end_gang` is called before the kind of step is looked at, and counted failures and took an end `done` for the end of the step.

Change: `end_gang` shares the checkpoint and then returns for long-running steps. It works since the coordinator already stops and places a gang again whenever a member's end leaves it undone.

Tests: ledger_long_running_gang_test; `member_fails_too_often_job_goes_on` and `member_is_done_job_goes_on` failed before the fix.

--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -347,7 +347,7 @@
 }
 
 // The tasks of a gang end together: if one is done, all are, and at most one failure is counted for
-// each attempt of the whole gang.
+// each attempt of the whole gang. A long-running gang starts again however it ends.
 void ledger::end_gang(job_record& job, const task_key& key, const pb::EndTask& operation,
                       base::wall_time now)
 {
@@ -357,6 +357,9 @@
             member.checkpoint = operation.checkpoint();
         }
     }
+    if (job.spec.steps[key.step].long_running) {
+        return;
+    }
     const auto how = from_proto(operation.how());
     if (how == end_kind::done && step.undone > 0) {
         for (auto& member : step.tasks) {
--- a/tests/jobs/ledger_test.cpp
+++ b/tests/jobs/ledger_test.cpp
@@ -262,4 +262,96 @@
 
 CPPUNIT_TEST_SUITE_REGISTRATION(ledger_crash_test);
 
+/// A ledger with a gang of two tasks that run until the job is cancelled.
+class ledger_long_running_gang_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ledger_long_running_gang_test);
+    CPPUNIT_TEST(member_fails_too_often_job_goes_on);
+    CPPUNIT_TEST(member_is_done_job_goes_on);
+    CPPUNIT_TEST(member_ends_with_checkpoint_all_members_have_it);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        auto service = test::simple_job(1, 2, 1'000);
+        service.steps[0].gang = true;
+        service.steps[0].long_running = true;
+        proto::jobs::Operation operation;
+        *operation.mutable_accept()->mutable_spec() = to_proto(service);
+        apply(operation);
+    }
+
+    // Guards against a service that ends because a worker fails what it starts (review/4).
+    void member_fails_too_often_job_goes_on()
+    {
+        for (int attempt = 0; attempt < 6; ++attempt) {
+            place();
+            end(0, proto::jobs::END_KIND_FAILED);
+            end(1, proto::jobs::END_KIND_BROKEN);
+        }
+        check_waits_again();
+    }
+
+    // Guards against a service that is shown as completed since one of its processes ended.
+    void member_is_done_job_goes_on()
+    {
+        place();
+        end(0, proto::jobs::END_KIND_DONE);
+        end(1, proto::jobs::END_KIND_DONE);
+        check_waits_again();
+    }
+
+    void member_ends_with_checkpoint_all_members_have_it()
+    {
+        place();
+        end(0, proto::jobs::END_KIND_STOPPED, "checkpoint");
+        CPPUNIT_ASSERT_EQUAL(std::string{"checkpoint"}, m_records.find(member(1))->checkpoint);
+    }
+
+private:
+    static task_key member(std::uint32_t index) { return {job_number{1}, 0, 0, index}; }
+
+    void apply(const proto::jobs::Operation& operation)
+    {
+        proto::jobs::Batch batch;
+        *batch.add_operations() = operation;
+        CPPUNIT_ASSERT(m_records.apply(batch.SerializeAsString()).ok());
+    }
+
+    void place()
+    {
+        ++m_attempt;
+        proto::jobs::Operation operation;
+        for (const std::uint32_t index : {0U, 1U}) {
+            auto& placement = *operation.mutable_place()->add_placements();
+            *placement.mutable_task() = to_proto(run_key{member(index), m_attempt});
+            placement.set_worker("w1");
+        }
+        apply(operation);
+    }
+
+    void end(std::uint32_t index, proto::jobs::EndKind how, const std::string& checkpoint = {})
+    {
+        proto::jobs::Operation operation;
+        *operation.mutable_end()->mutable_task() = to_proto(run_key{member(index), m_attempt});
+        operation.mutable_end()->set_worker("w1");
+        operation.mutable_end()->set_how(how);
+        operation.mutable_end()->set_checkpoint(checkpoint);
+        apply(operation);
+    }
+
+    void check_waits_again() const
+    {
+        const auto& job = *m_records.find(job_number{1});
+        CPPUNIT_ASSERT(!is_final(job.state));
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, job.step(0, 0).undone);
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, job.placed);
+    }
+
+    std::uint32_t m_attempt = 0;
+    ledger m_records;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_long_running_gang_test);
+
 } // namespace
