Keep the advice policy of a removed queue for its jobs

Cause: `coordinator::advice_for` looked the policy up in the newest configuration, and a queue that isn't there counted as one without advice. So the second step was placed at once and sent without a ticket, which the workers refused, again and again.

It applies once the configuration lacks the queue. It works since the step then waits for tickets as any other, also under the next leader.

The simulated workers refuse starts without a ticket now.

--- a/include/lovagebeam/jobs/model.h
+++ b/include/lovagebeam/jobs/model.h
@@ -59,6 +59,15 @@
     friend bool operator==(const step_spec&, const step_spec&) = default;
 };
 
+/// Settings of a queue for which an advice service decides which workers may run a step.
+struct advice_policy {
+    milliseconds decision{};                ///< fixed part of the duration of a call
+    std::chrono::microseconds per_worker{}; ///< added for each worker that the call names
+    milliseconds ticket_validity{};
+
+    friend bool operator==(const advice_policy&, const advice_policy&) = default;
+};
+
 struct job_spec {
     job_number id;
     std::string queue;
@@ -73,6 +82,8 @@
     std::uint32_t max_attempts = 1;
     double slack_factor = 1;
     milliseconds target_latency{};
+    /// That of the queue when the job was accepted; applies once the queue is removed.
+    std::optional<advice_policy> advice;
 
     friend bool operator==(const job_spec&, const job_spec&) = default;
 
@@ -157,15 +168,6 @@
     friend bool operator==(const worker_info&, const worker_info&) = default;
 };
 
-/// Settings of a queue for which an advice service decides which workers may run a step.
-struct advice_policy {
-    milliseconds decision{};                ///< fixed part of the duration of a call
-    std::chrono::microseconds per_worker{}; ///< added for each worker that the call names
-    milliseconds ticket_validity{};
-
-    friend bool operator==(const advice_policy&, const advice_policy&) = default;
-};
-
 /// A queue of jobs, selected by host name and the longest path prefix.
 struct queue_settings {
     std::string name;
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -182,6 +182,7 @@
     spec->max_attempts = resolved.queue->max_attempts;
     spec->slack_factor = resolved.queue->slack_factor;
     spec->target_latency = resolved.queue->target_latency;
+    spec->advice = resolved.queue->advice;
     m_dependencies.submitted(now, *spec);
     proto::jobs::Operation operation;
     *operation.mutable_accept()->mutable_spec() = jobs::to_proto(*spec);
--- a/src/jobs/convert.cpp
+++ b/src/jobs/convert.cpp
@@ -93,6 +93,12 @@
     out.set_max_attempts(spec.max_attempts);
     out.set_slack_factor(spec.slack_factor);
     out.set_target_latency_ms(spec.target_latency.count());
+    if (spec.advice) {
+        auto& advice = *out.mutable_advice();
+        advice.set_decision_ms(spec.advice->decision.count());
+        advice.set_per_worker_us(spec.advice->per_worker.count());
+        advice.set_ticket_validity_ms(spec.advice->ticket_validity.count());
+    }
     return out;
 }
 
@@ -114,6 +120,12 @@
     out.max_attempts = message.max_attempts();
     out.slack_factor = message.slack_factor();
     out.target_latency = milliseconds{message.target_latency_ms()};
+    if (message.has_advice()) {
+        const auto& advice = message.advice();
+        out.advice = advice_policy{milliseconds{advice.decision_ms()},
+                                   std::chrono::microseconds{advice.per_worker_us()},
+                                   milliseconds{advice.ticket_validity_ms()}};
+    }
     return out;
 }
 
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -41,10 +41,12 @@
 
 } // namespace
 
+// Workers ask for tickets of a job that was accepted on a queue which has been removed since.
 const advice_policy* coordinator::advice_for(const job_spec& job) const
 {
     const auto* const queue = m_catalog ? m_catalog->queue_named(job.queue) : nullptr;
-    return queue != nullptr && queue->advice ? &*queue->advice : nullptr;
+    const auto& policy = queue == nullptr ? job.advice : queue->advice;
+    return policy ? &*policy : nullptr;
 }
 
 std::string coordinator::pool_of(const job_spec& job) const
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -200,8 +200,12 @@
              [this] { start_leader(); });
 }
 
-void sim_cell::submit(const job_spec& spec)
+void sim_cell::submit(const job_spec& submitted)
 {
+    auto spec = submitted;
+    if (const auto* const queue = config->queue_named(spec.queue)) {
+        spec.advice = queue->advice;
+    }
     if (leader) {
         leader->on_submission(wall(), spec);
     }
@@ -461,6 +465,14 @@
     collect();
 }
 
+void sim_cell::change_config(std::shared_ptr<catalog> next)
+{
+    config = std::move(next);
+    if (leader) {
+        leader->on_catalog(config);
+    }
+}
+
 void sim_cell::run_for(base::duration time)
 {
     const auto until = now + time;
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -62,9 +62,9 @@
     std::uint32_t workers = 8;
     double lose_request = 0; ///< probability for each order, like those below
     double lose_answer = 0;
-    double apply_late = 0; ///< an order is carried out 2 to 12 s later
-    double fail_run = 0;   ///< the task itself fails
-    bool with_advice = false;
+    double apply_late = 0;             ///< an order is carried out 2 to 12 s later
+    double fail_run = 0;               ///< the task itself fails
+    bool with_advice = false;          ///< workers refuse starts without a ticket
     std::uint32_t agents = 4;          ///< hosts that call the advice service
     std::uint32_t allowed_of_four = 3; ///< how many of four workers the advice service allows
     base::duration commit_time = 12ms;
@@ -104,10 +104,12 @@
     void drain_worker(const base::worker_id& id);
     /// Changes the processors of a worker. Its next heartbeat is committed up to 1.5 s later.
     void change_capacity(const base::worker_id& id, std::int64_t millicores);
-    void submit(const job_spec& spec);
+    void submit(const job_spec& submitted);
     void cancel(job_number id);
     /// Replaces the leader. Batches that the former one has proposed may or may not be committed.
     void change_leader();
+    /// Puts a configuration in force.
+    void change_config(std::shared_ptr<catalog> next);
     void run_for(base::duration time);
     /// Checks that each failed job has a task that failed as often as it may, or under which two
     /// workers crashed.
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -76,6 +76,9 @@
     if (order.deadline <= worker.clock(now)) {
         return start_outcome::too_late;
     }
+    if (settings.with_advice && order.ticket.empty()) {
+        return start_outcome::no_ticket;
+    }
     extend_lease(worker, order.deadline);
     const auto highest_attempt = worker.ended_attempts.find(order.run.task);
     if (highest_attempt != worker.ended_attempts.end() &&
