Watch a service, ended processes and pending jobs in the soak

It had no job that lasts, never read the count of pending jobs, and a process that ended by itself stayed away unnoticed.

Change: each run has a service with two tasks that must be at work again at the end; the count of pending jobs is held against the jobs that haven't begun; a process that ends by itself is started again, as the platform does it, and is a violation, unless SIGHUP reached it within 0.5 s of its start.

--- a/soak/soak.py
+++ b/soak/soak.py
@@ -24,6 +24,9 @@
 CONTROL, CALLERS, READY, INTERNAL = 8180, 8183, 8184, 7420
 CONVERGENCE_TIMEOUT_SECONDS = 60
 MAX_PAUSE_SECONDS = 3.0
+SERVICE_TASKS = 2
+# Until its handlers are installed, SIGHUP ends a process.
+STARTUP_SECONDS = 0.5
 
 
 class Host:
@@ -33,7 +36,7 @@
         self.soak, self.number = soak, number
         self.address = f"127.{soak.options.net}.1.{number}"
         self.folder = os.path.join(soak.folder, f"host{number}")
-        self.processes = {}
+        self.processes, self.started_at = {}, {}
         self.lock = threading.Lock()
         os.makedirs(self.folder)
 
@@ -58,6 +61,7 @@
         with open(os.path.join(self.folder, f"{role}.log"), "ab") as log:
             self.processes[role] = subprocess.Popen(
                 [self.soak.binary, role, "--settings", path], stdout=log, stderr=log)
+        self.started_at[role] = time.monotonic()
 
     def kill(self, role):
         process = self.processes[role]
@@ -74,6 +78,16 @@
             process.kill()
             process.wait()
 
+    def restart_ended(self):
+        """Starts processes again that ended by themselves, as the platform does."""
+        for role, process in list(self.processes.items()):
+            code = process.poll()
+            if code is None:
+                continue
+            if code != -signal.SIGHUP or time.monotonic() - self.started_at[role] > STARTUP_SECONDS:
+                self.soak.checker.report_violation(f"ENDED host{self.number} {role} ended with {code}")
+            self.start(role)
+
     def wipe(self):
         shutil.rmtree(os.path.join(self.folder, "data"), ignore_errors=True)
 
@@ -88,7 +102,8 @@
         self.is_over = False
         self.core_fault_lock = threading.Lock()  # at most one core process is faulty at a time
         self.accepted, self.refused, self.open_jobs = {}, {}, set()
-        self.job_states = {}
+        self.job_states, self.pending = {}, {}
+        self.service = f"{options.seed:016x}"
         self.lock = threading.Lock()
         self.hosts = [Host(self, i + 1) for i in range(options.hosts)]
         self.seeds = [f"{host.address}:{CONTROL}" for host in self.hosts[:3]]
@@ -187,16 +202,31 @@
             response = connection.getresponse()
             text = response.read()
             if method == "GET" and response.status == 200:
-                self.job_states[job] = json.loads(text)["state"]
+                answer = json.loads(text)
+                self.job_states[job], self.pending[job] = answer.get("state"), answer.get("pending")
             return response.status
         except (OSError, http.client.HTTPException, ValueError):
             return 0
 
+    def call_entry(self, host, method, job, body):
+        """One request on a connection of its own."""
+        connection = http.client.HTTPConnection(host.address, CALLERS, timeout=3.5)
+        status = self.send(connection, method, job, body)
+        connection.close()
+        return status
+
+    def submit_service(self):
+        """Submits a job that runs until it is cancelled, with tasks on different workers."""
+        self.checker.known_jobs.add(self.service)
+        body = json.dumps({"spec": "86400 s", "phases": [
+            {"count": SERVICE_TASKS, "cpu": 1000, "memoryRequestMb": 64, "estimatedMs": 86_400_000,
+             "longRunning": True, "antiAffinity": 1}]})
+        while not self.is_over and self.call_entry(self.pick_host(), "POST", self.service, body) != 200:
+            time.sleep(0.3)
+
     def query_state(self, job):
         for host in self.random.sample(self.hosts, len(self.hosts)):
-            connection = http.client.HTTPConnection(host.address, CALLERS, timeout=3.5)
-            status = self.send(connection, "GET", job, None)
-            connection.close()
+            status = self.call_entry(host, "GET", job, None)
             if status == 200:
                 return self.job_states[job]
             if status == 410:
@@ -205,6 +235,17 @@
 
     # Faults. Each runs on its own thread, so that faults overlap.
 
+    def watch_loop(self):
+        while not self.is_over:
+            for host in self.hosts:
+                # Locked while a fault keeps one of the host's processes down.
+                if host.lock.acquire(blocking=False):
+                    try:
+                        host.restart_ended()
+                    finally:
+                        host.lock.release()
+            time.sleep(0.1)
+
     def fault_loop(self):
         kinds = [self.kill_core, self.pause_core, self.stop_core, self.wipe_core, self.kill_entry,
                  self.stop_entry, self.reload, self.crash_worker, self.cut_worker,
@@ -310,12 +351,13 @@
             host.start("core", True)
         for worker in self.workers:
             worker.start_serving()
-        loops = [threading.Thread(target=self.operator_loop, daemon=True)]
+        loops = [threading.Thread(target=loop, daemon=True) for loop in (self.operator_loop, self.watch_loop)]
         loops += [threading.Thread(target=self.heartbeat_loop, args=(worker,), daemon=True)
                   for worker in self.workers]
         for loop in loops:
             loop.start()
         time.sleep(4)
+        threading.Thread(target=self.submit_service, daemon=True).start()
         callers = [threading.Thread(target=self.caller_loop, args=(i,), daemon=True)
                    for i in range(self.options.callers)]
         for caller in callers:
@@ -337,6 +379,8 @@
                 if states[job] in ("completed", "failed", "cancelled"):
                     waiting.discard(job)
             time.sleep(0.2)
+        self.check_service(deadline)
+        self.check_pending()
         self.is_over = True
         for job in waiting:
             self.checker.report_violation(f"LOST {job} is {states.get(job)}")
@@ -351,6 +395,30 @@
             if job in started:
                 self.checker.report_violation(f"REFUSED {job} was refused on every attempt, but started")
 
+    def check_service(self, deadline):
+        """The service must be at work again, however often its workers crashed."""
+        names = [f"{self.service}.0.0.{index}" for index in range(SERVICE_TASKS)]
+        at_work, state = 0, None
+        while time.monotonic() < deadline and (at_work < len(names) or state != "running"):
+            time.sleep(0.2)
+            at_work = sum(1 for name in names if self.checker.running.get(name))
+            state = self.query_state(self.service)
+        if at_work < len(names) or state != "running":
+            self.checker.report_violation(f"LOST the service {self.service} is {state} with {at_work} of "
+                                          f"{len(names)} tasks at work")
+
+    def check_pending(self):
+        """Half of the jobs that were accepted 5 s ago and haven't begun must be counted, as the rules have it."""
+        for host in self.hosts:
+            with self.lock:
+                due = {job for job, when in self.accepted.items() if time.monotonic() - when > 5}
+            status = self.call_entry(host, "GET", "", None)
+            begun = {task.split(".")[0] for task in list(self.checker.running)}
+            waiting = len(due - begun - set(self.checker.cancelled))
+            if status == 200 and self.pending[""] < waiting / 2:
+                self.checker.report_violation(f"MIXED host{host.number} counts {self.pending['']} jobs as pending, but "
+                                              f"{waiting} haven't begun")
+
     def close(self):
         self.is_over = True
         for host in self.hosts:
