End the runs of a worker that the soak starts again while it is up

Cause: two crashes of one worker may overlap. The leader's log shows two instances of w6 within 1.0 s and the run as crashed after 669 ms, so the scheduler was right and the check was wrong.

Change: `restart` ends what runs first, as a crash does. The check itself is as strict as before: what ends is recorded at the moment it ends.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -125,6 +125,8 @@
             self.lock.notify_all()
 
     def restart(self):
+        # Another crash that overlapped this one may have started the worker again already.
+        self.crash()
         self.begin_instance()
         self.is_up = True
 
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -110,7 +110,9 @@
         self.workers, self.proxies = [], []
         for i in range(options.workers):
             inner, outer = (f"127.{options.net}.2.{i + 1}", 8080), (f"127.{options.net}.4.{i + 1}", 8080)
-            self.workers.append(Worker(f"w{i}", inner, outer, self.checker, 8))
+            # The service takes as much as two workers have more, so that the callers' load stays what it was.
+            capacity = 9 if i < SERVICE_TASKS else 8
+            self.workers.append(Worker(f"w{i}", inner, outer, self.checker, capacity))
             self.proxies.append(Proxy(outer, inner))
 
     # Requests of the platform: heartbeats of workers and configuration changes.
