Look up the job of a listed run twice instead of four times

Cause: since starts are confirmed from the lists of workers, `read_running` looked the job of each running task up once more at each hold: four times in all.

Change: `read_running` finds the job once and passes it on; `is_wanted` needs one more lookup for the task. Decisions are unchanged.

--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -235,7 +235,8 @@
     void report_usability(entry& worker, base::time_point now);
     static void mark_answered(entry& worker, sent_start& start, base::time_point now);
     static void erase_start(entry& worker, const run_key& run);
-    void confirm_start(const entry& worker, const run_key& run);
+    /// `job` is that of the run, or nullptr if the ledger doesn't have it, as in `is_wanted`.
+    void confirm_start(const entry& worker, const run_key& run, const job_record* job);
     hold_order make_hold(entry& worker, base::time_point now);
     void send_hold(entry& worker, base::time_point now);
     void send_check(entry& worker, base::time_point now);
@@ -272,8 +273,10 @@
     /// Ends the placements that the worker's lists lack and that can't begin any more.
     void resolve_placements(entry& worker, base::time_point now, base::time_point sent,
                             const hold_answer& answer);
-    [[nodiscard]] bool is_wanted(const entry& worker, const run_key& run) const;
-    void watch_progress(entry& worker, base::time_point now, const running_row& row);
+    [[nodiscard]] bool is_wanted(const entry& worker, const run_key& run,
+                                 const job_record* job) const;
+    void watch_progress(entry& worker, base::time_point now, const running_row& row,
+                        const step_spec& step);
     void update_health(entry& worker, base::time_point now, const run_key& run, end_kind how);
     void record_failure(entry& worker, base::time_point now, job_number job);
 
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -102,7 +102,7 @@
         }
         worker.last_listed_end = std::max(worker.last_listed_end, row.number);
         worker.stop_sent_at.erase(row.run);
-        confirm_start(worker, row.run);
+        confirm_start(worker, row.run, m_ledger.find(row.run.task.job));
         const auto* const task = m_ledger.find(row.run.task);
         if (task != nullptr && task->placed && task->attempt == row.run.attempt &&
             task->worker == worker.info.id) {
@@ -121,9 +121,8 @@
     m_out.cursors.push_back({worker.info.id, worker.info.started_at, worker.last_listed_end});
 }
 
-bool worker_table::is_wanted(const entry& worker, const run_key& run) const
+bool worker_table::is_wanted(const entry& worker, const run_key& run, const job_record* job) const
 {
-    const auto* const job = m_ledger.find(run.task.job);
     const auto* const task = m_ledger.find(run.task);
     return task != nullptr && task->placed && !task->done && task->attempt == run.attempt &&
            task->worker == worker.info.id && task->worker_started_at == worker.info.started_at &&
@@ -135,9 +134,10 @@
     worker.running.clear();
     for (const auto& row : answer.running) {
         worker.running.emplace(row.run, row);
-        confirm_start(worker, row.run);
-        if (is_wanted(worker, row.run)) {
-            watch_progress(worker, now, row);
+        const auto* const job = m_ledger.find(row.run.task.job);
+        confirm_start(worker, row.run, job);
+        if (is_wanted(worker, row.run, job)) {
+            watch_progress(worker, now, row, job->spec.steps[row.run.task.step]);
             continue;
         }
         // The members of a gang end by themselves once one of them is done, so they are not stopped
@@ -154,9 +154,9 @@
     }
 }
 
-void worker_table::watch_progress(entry& worker, base::time_point now, const running_row& row)
+void worker_table::watch_progress(entry& worker, base::time_point now, const running_row& row,
+                                  const step_spec& step)
 {
-    const auto& step = m_ledger.find(row.run.task.job)->spec.steps[row.run.task.step];
     auto& last =
         worker.progress_by_run.try_emplace(row.run, progress{row.percent, now}).first->second;
     if (row.percent != last.percent || step.long_running || step.fills) {
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -282,7 +282,7 @@
     }
     if (outcome == start_outcome::started) {
         mark_answered(*worker, found->second, now);
-        confirm_start(*worker, run);
+        confirm_start(*worker, run, m_ledger.find(run.task.job));
         m_mean_start_time += (now - found->second.sent_at - m_mean_start_time) / mean_weight;
         return;
     }
@@ -386,9 +386,8 @@
     start.answered_at = now;
 }
 
-void worker_table::confirm_start(const entry& worker, const run_key& run)
+void worker_table::confirm_start(const entry& worker, const run_key& run, const job_record* job)
 {
-    const auto* const job = m_ledger.find(run.task.job);
     if (job != nullptr && !job->has_begun) {
         m_out.confirmed_starts.push_back({run, worker.info.id});
     }
