--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -55,6 +55,18 @@
     return jobs::job_number{value};
 }
 
+// A job keeps the settings that its queue had when it was accepted.
+void copy_settings(const jobs::queue_settings& queue, jobs::job_spec& spec)
+{
+    spec.queue = queue.name;
+    spec.pool = queue.pool;
+    spec.priority = queue.priority;
+    spec.max_attempts = queue.max_attempts;
+    spec.slack_factor = queue.slack_factor;
+    spec.target_latency = queue.target_latency;
+    spec.advice = queue.advice;
+}
+
 pb::CallerAnswer answer_of(caller_service::commit_outcome outcome)
 {
     pb::CallerAnswer out;
@@ -175,14 +187,8 @@
         return;
     }
     spec->id = resolved.job;
-    spec->queue = resolved.queue->name;
     spec->account = resolved.account;
-    spec->pool = resolved.queue->pool;
-    spec->priority = resolved.queue->priority;
-    spec->max_attempts = resolved.queue->max_attempts;
-    spec->slack_factor = resolved.queue->slack_factor;
-    spec->target_latency = resolved.queue->target_latency;
-    spec->advice = resolved.queue->advice;
+    copy_settings(*resolved.queue, *spec);
     m_dependencies.submitted(now, *spec);
     proto::jobs::Operation operation;
     *operation.mutable_accept()->mutable_spec() = jobs::to_proto(*spec);
