Log the search for the leader of entry and core processes

Cause: of a request that ended with "no leader" the logs didn't say whom the entry process had asked, what came back and how many syncs were pending, nor what a core process without a leader knows.

Change: once a second, leader_search on entry processes that no leader has confirmed, and no_leader on core processes that know none. No decision changes.

--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -5,6 +5,8 @@
 #include "initial_voters.h"
 #include "internal_calls.h"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <utility>
 
@@ -28,6 +30,7 @@
 /// How long the leader's address from another process is used.
 constexpr std::chrono::milliseconds reported_leader_timeout{1'500};
 constexpr std::size_t min_voters = 3;
+constexpr std::chrono::seconds report_interval{1};
 
 consensus::repair_settings repair_settings_for(const settings::process_settings& settings)
 {
@@ -140,6 +143,44 @@
     }
     update_initial_voters(now);
     update_peers();
+    if (now - m_last_report >= report_interval) {
+        write_report(now);
+    }
+}
+
+void core_group::write_report(base::time_point now)
+{
+    m_last_report = now;
+    const auto sent = std::exchange(m_hellos, 0);
+    const auto answered = std::exchange(m_hellos_answered, 0);
+    if (!leader(now).empty()) {
+        return;
+    }
+    std::vector<std::string> voters;
+    std::vector<std::string> connected;
+    for (const auto& voter : m_log.replica().config().voters) {
+        voters.push_back(voter.id.str());
+        if (m_links.is_connected(voter.id)) {
+            connected.push_back(voter.id.str());
+        }
+    }
+    std::vector<std::string> present;
+    for (const auto& [id, core] : m_contacts) {
+        if (now - core.last_contact < presence_timeout) {
+            present.push_back(id.str());
+        }
+    }
+    log_event{severity::info, "no_leader"}
+        .with("role", consensus::name_of(m_log.replica().role()))
+        .with("term", m_log.replica().current_term().value())
+        .with("last_index", m_log.replica().last_index().value())
+        .with("voters", absl::StrJoin(voters, ","))
+        .with("connected_voters", absl::StrJoin(connected, ","))
+        .with("known", absl::StrJoin(cores(), ","))
+        .with("heard_from", absl::StrJoin(present, ","))
+        .with("hellos", sent)
+        .with("hellos_answered", answered)
+        .write();
 }
 
 void core_group::update_peers()
@@ -186,6 +227,7 @@
     hello.set_failure_domain(m_settings.domain.str());
     hello.set_incarnation(m_identity.incarnation.value());
     hello.set_durable(!m_settings.data_folder.empty());
+    ++m_hellos;
     post_message<pb::CoreHelloAnswer>(
         m_client, to, core_port(m_settings), hello_path, hello, hello_timeout,
         [this, to](std::optional<pb::CoreHelloAnswer> answer, call_failure) {
@@ -200,6 +242,7 @@
 void core_group::on_hello_answer(base::time_point now, const std::string& queried,
                                  const pb::CoreHelloAnswer& answer)
 {
+    ++m_hellos_answered;
     m_durable_by_host[queried] = answer.durable();
     if (m_initial_voters.empty()) {
         m_initial_voters = {answer.founders().begin(), answer.founders().end()};
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -59,6 +59,8 @@
     [[nodiscard]] consensus::repair_view repair_view(base::time_point now) const;
 
     void update_initial_voters(base::time_point now);
+    /// Writes one line about the known processes, if none of them is known to lead.
+    void write_report(base::time_point now);
 
     const settings::process_settings& m_settings;
     std::vector<std::string> m_initial_voters;
@@ -79,6 +81,9 @@
     std::set<std::string> m_peer_addresses;
     std::uint64_t m_next_core = 0;
     base::time_point m_last_hello;
+    std::uint64_t m_hellos = 0;          ///< sent since the last report
+    std::uint64_t m_hellos_answered = 0; ///< since the last report
+    base::time_point m_last_report;
     base::time_point m_last_plan;
     base::time_point m_leading_since;
     base::node_id m_previous_leader; ///< the last leader other than this process
--- a/src/controlplane/leader_link.cpp
+++ b/src/controlplane/leader_link.cpp
@@ -5,6 +5,8 @@
 
 #include "internal_calls.h"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <iterator>
 #include <utility>
@@ -82,6 +84,18 @@
 {
     m_last_report = now;
     const auto last = std::exchange(m_counts, {});
+    if (!is_connected(now)) {
+        log_event{severity::info, "leader_search"}
+            .with("leader", m_leader)
+            .with("known", absl::StrJoin(m_cores, ","))
+            .with("syncs", last.syncs)
+            .with("unanswered", last.syncs_unanswered)
+            .with("without_leader", last.syncs_without_leader)
+            .with("pending", m_pending_syncs + m_pending_queries)
+            .with("last_answered_by", m_last_answered_by)
+            .with("named_leader", m_last_named_leader)
+            .write();
+    }
     if (last.resent + last.unanswered + last.unreached + last.syncs_unanswered == 0) {
         return;
     }
@@ -133,6 +147,7 @@
 void leader_link::send_sync(const std::string& to, std::uint32_t& pending)
 {
     ++pending;
+    ++m_counts.syncs;
     pb::SyncRequest request;
     request.set_entry(m_settings.address);
     request.set_wall_ms(base::wall_now().time_since_epoch().count());
@@ -155,6 +170,9 @@
         ++m_counts.syncs_unanswered;
         return;
     }
+    m_counts.syncs_without_leader += answer->leader().empty() ? 1 : 0;
+    m_last_answered_by = queried;
+    m_last_named_leader = answer->leader();
     for (const auto& core : answer->cores()) {
         m_cores.insert(core);
     }
--- a/src/controlplane/leader_link.h
+++ b/src/controlplane/leader_link.h
@@ -83,7 +83,8 @@
                bool is_answered, call_failure failure);
     void enqueue(const shared_call& call) { m_waiting.push_back(call); }
     void send_waiting(base::time_point now);
-    /// Writes one line about the calls of the last second, if any got no answer.
+    /// Writes one line about the calls of the last second, if any got no answer, and one about the
+    /// search for the leader, if none has confirmed itself.
     void write_report(base::time_point now);
     void set_leader(base::time_point now, const std::string& leader, std::string_view why);
     void close_connections(const std::string& leader);
@@ -115,9 +116,13 @@
             0;                       ///< sent without a usable answer; the leader may have got them
         std::uint64_t unreached = 0; ///< not sent: no connection
         std::uint64_t given_up = 0;
+        std::uint64_t syncs = 0;
         std::uint64_t syncs_unanswered = 0;
+        std::uint64_t syncs_without_leader = 0; ///< answered by a process that knows no leader
     };
     call_counts m_counts;
+    std::string m_last_answered_by;  ///< the process that answered the last sync
+    std::string m_last_named_leader; ///< in that answer
     base::time_point m_last_report;
 };
 
