Add failing tests of a restart with seeds that have no state

All core processes stop at the same moment and start again with seeds that have no disk, or lost it. A leader is elected, and 20 s later no other process knows it: both tests of core_discovery_test fail on this code.

--- /dev/null
+++ b/tests/controlplane/core_discovery_test.cpp
@@ -0,0 +1,226 @@
+#include "lovagebeam/controlplane/core_host.h"
+
+#include "controlplane.pb.h"
+#include "internal_calls.h"
+#include "support/net.h"
+
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <cstdlib>
+#include <filesystem>
+#include <future>
+#include <memory>
+#include <optional>
+#include <string>
+#include <thread>
+#include <unistd.h>
+#include <vector>
+
+// Core processes with and without a disk that all stop at the same moment and start again with
+// other seeds.
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::controlplane;
+using namespace std::chrono_literals;
+
+namespace pb = proto::controlplane;
+
+class unused_worker_port final : public worker_port {
+public:
+    void start(const jobs::start_order&, std::function<void(jobs::start_outcome)>) override {}
+    void stop(const jobs::stop_order&, std::function<void(bool)>) override {}
+    void hold(const jobs::hold_order&,
+              std::function<void(jobs::hold_outcome, jobs::hold_answer)>) override
+    {
+    }
+};
+
+class unused_codec final : public document_codec {
+public:
+    [[nodiscard]] absl::StatusOr<jobs::job_spec> decode_job(std::string_view) const override
+    {
+        return absl::UnimplementedError("unused");
+    }
+    [[nodiscard]] absl::StatusOr<jobs::catalog> decode_catalog(std::string_view) const override
+    {
+        return absl::UnimplementedError("unused");
+    }
+    [[nodiscard]] std::string encode_state(jobs::job_state) const override { return {}; }
+    [[nodiscard]] std::string encode_pending(std::uint64_t) const override { return {}; }
+};
+
+/// A host that runs a core process.
+struct core_machine {
+    std::string address;
+    std::string data_folder; ///< empty without a disk
+    std::vector<std::string> seeds;
+    telemetry::metrics_registry metrics;
+    std::unique_ptr<core_host> process;
+};
+
+/// Three hosts with a disk and three without.
+class core_discovery_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(core_discovery_test);
+    CPPUNIT_TEST(restart_seeds_without_disk_all_find_leader);
+    CPPUNIT_TEST(restart_seeds_include_lost_disk_all_find_leader);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void setUp() override
+    {
+        // Each run takes a network of its own, so that runs side by side don't meet.
+        const auto network = "127." + std::to_string(20 + ::getpid() % 200) + ".";
+        m_folder = std::filesystem::temp_directory_path() /
+                   ("core_discovery_test." + std::to_string(::getpid()));
+        std::filesystem::remove_all(m_folder);
+        std::filesystem::create_directories(m_folder);
+        for (int i = 1; i <= 3; ++i) {
+            const auto name = std::to_string(i);
+            m_durable.push_back(std::make_unique<core_machine>());
+            m_durable.back()->address = network + name + ".1";
+            m_durable.back()->data_folder = m_folder / name;
+            m_diskless.push_back(std::make_unique<core_machine>());
+            m_diskless.back()->address = network + name + ".2";
+        }
+        m_client.start();
+        set_seeds({m_durable[0].get(), m_durable[1].get(), m_durable[2].get()});
+        start_all(true);
+        CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
+    }
+
+    void tearDown() override
+    {
+        stop_all();
+        m_client.stop();
+        std::filesystem::remove_all(m_folder);
+    }
+
+    // Guards against processes that stay without a leader after a loss of power: their seeds have
+    // no disk, so that none of them knows the processes with the state, and these look for nobody.
+    void restart_seeds_without_disk_all_find_leader()
+    {
+        stop_all();
+        set_seeds({m_diskless[0].get(), m_diskless[1].get(), m_diskless[2].get()});
+        start_all(false);
+        CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
+    }
+
+    // The same with a seed that loses its disk, and with it the knowledge of the other processes.
+    void restart_seeds_include_lost_disk_all_find_leader()
+    {
+        stop_all();
+        std::filesystem::remove_all(m_durable[0]->data_folder);
+        set_seeds({m_diskless[0].get(), m_diskless[1].get(), m_durable[0].get()});
+        start_all(false);
+        CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
+    }
+
+private:
+    [[nodiscard]] std::vector<core_machine*> all() const
+    {
+        std::vector<core_machine*> out;
+        for (const auto* list : {&m_durable, &m_diskless}) {
+            for (const auto& machine : *list) {
+                out.push_back(machine.get());
+            }
+        }
+        return out;
+    }
+
+    void set_seeds(const std::vector<core_machine*>& seeds)
+    {
+        for (auto* machine : all()) {
+            machine->seeds.clear();
+            for (const auto* seed : seeds) {
+                machine->seeds.push_back(seed->address);
+            }
+        }
+    }
+
+    void start(core_machine& machine, bool is_first_start)
+    {
+        settings::process_settings settings;
+        settings.node = base::node_id{machine.address};
+        settings.address = machine.address;
+        settings.domain = base::failure_domain{machine.address};
+        settings.data_folder = machine.data_folder;
+        settings.first_internal_port = first_port;
+        settings.last_internal_port = first_port + 3;
+        settings.is_first_start = is_first_start;
+        for (const auto& seed : machine.seeds) {
+            settings.seeds.push_back({seed, first_port});
+        }
+        auto created = core_host::create({settings, &m_workers, &m_codec, &machine.metrics});
+        CPPUNIT_ASSERT_MESSAGE(std::string{created.status().message()}, created.ok());
+        machine.process = *std::move(created);
+        CPPUNIT_ASSERT(machine.process->start().ok());
+    }
+
+    // At a first start a process with a disk waits for the answers of the seeds.
+    void start_all(bool is_first_start)
+    {
+        std::vector<std::future<void>> started;
+        for (auto* machine : all()) {
+            started.push_back(std::async(std::launch::async, [this, machine, is_first_start] {
+                start(*machine, is_first_start);
+            }));
+        }
+        for (auto& each : started) {
+            each.get();
+        }
+    }
+
+    void stop_all()
+    {
+        std::vector<std::future<void>> stopped;
+        for (auto* machine : all()) {
+            stopped.push_back(
+                std::async(std::launch::async, [machine] { machine->process.reset(); }));
+        }
+        for (auto& each : stopped) {
+            each.get();
+        }
+    }
+
+    std::optional<pb::SyncAnswer> sync_with(const std::string& address)
+    {
+        settings::process_settings ports;
+        ports.first_internal_port = first_port;
+        std::promise<std::optional<pb::SyncAnswer>> answered;
+        pb::SyncRequest request;
+        request.set_entry("127.0.0.1");
+        post_message<pb::SyncAnswer>(
+            m_client, address, core_port(ports), sync_path, request, 1s,
+            [&](auto answer, call_failure) { answered.set_value(std::move(answer)); });
+        return answered.get_future().get();
+    }
+
+    // Whether every process names the process that leads.
+    bool all_know_leader()
+    {
+        return std::ranges::all_of(all(), [this](const core_machine* machine) {
+            const auto told = sync_with(machine->address);
+            if (!told || told->leader().empty()) {
+                return false;
+            }
+            const auto leader = sync_with(told->leader());
+            return leader && leader->is_leader();
+        });
+    }
+
+    static constexpr std::uint16_t first_port = 7420;
+
+    unused_worker_port m_workers;
+    unused_codec m_codec;
+    std::filesystem::path m_folder;
+    targets::http_client m_client;
+    std::vector<std::unique_ptr<core_machine>> m_durable;
+    std::vector<std::unique_ptr<core_machine>> m_diskless;
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(core_discovery_test);
+
+} // namespace
