Let core processes look for those that don't know their group

Cause: half of the core processes have no disk and keep no state. When they stop at the same moment and their seeds are such processes, or ones that lost their disk, they know only each other. The members find each other in the log and looked for nobody: a member says hello to the leader only, and the leader to nobody. Entry processes, which know only what the seeds tell, found no leader; a host with an empty disk found no group, so each further lost disk cost a member until no majority was left.

Change: every core process says hello to all others that it knows in turn, also the leader. A hello carries the leader of the sender's group and the addresses that it knows at first hand; the receiver remembers both. Only processes with a disk connect to each other; those without one were refused by the members several times a second.

Why it works: the members' knowledge is in their logs and seeds, which a restart doesn't lose, and they now spread it themselves. Names at second hand aren't passed on, so that no address of a lost host stays alive among processes without state.

--- a/src/controlplane/core_calls.cpp
+++ b/src/controlplane/core_calls.cpp
@@ -98,7 +98,7 @@
     const bool is_leader = m_coordinator && m_log.is_established_leader(now);
     answer.set_is_leader(is_leader);
     answer.set_leader(m_group.leader(now));
-    for (const auto& core : m_group.cores()) {
+    for (const auto& core : m_group.cores(now)) {
         answer.add_cores(core);
     }
     answer.set_catalog_version(records().catalog_version());
--- /dev/null
+++ b/src/controlplane/core_directory.h
@@ -0,0 +1,51 @@
+#pragma once
+
+#include "lovagebeam/base/types.h"
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace lovagebeam::controlplane {
+
+/// The addresses of the core processes that a core process knows, and from which source. Only those
+/// that it knows at first hand are told to others: otherwise the processes would keep the address
+/// of a host that is gone alive by naming it to each other. Without a network or a clock. Not
+/// thread-safe; used on the decisions thread only.
+class core_directory {
+public:
+    /// `first_turn` differs between processes, so that they don't call the others in the same
+    /// order.
+    core_directory(std::string self, std::set<std::string> seeds, std::uint64_t first_turn);
+
+    /// Replaces the members of the group, as the log of this process has them.
+    void set_members(std::set<std::string> members) { m_members = std::move(members); }
+    /// Records a message from `address` itself.
+    void on_heard(base::time_point now, const std::string& address);
+    /// Records that another process named `address`.
+    void on_named(base::time_point now, const std::string& address);
+
+    /// Returns the members, the processes that were heard lately and this one.
+    [[nodiscard]] std::set<std::string> confirmed(base::time_point now) const;
+    /// Returns `confirmed`, the seeds and the addresses that were named lately.
+    [[nodiscard]] std::set<std::string> known(base::time_point now) const;
+    /// Returns all known addresses but this process's own and `skipped` in turn; empty if there are
+    /// none.
+    [[nodiscard]] std::string next(base::time_point now, const std::string& skipped);
+
+private:
+    using times = std::map<std::string, base::time_point>;
+
+    static void add_recent(base::time_point now, const times& from, std::set<std::string>& to);
+
+    std::string m_self;
+    std::set<std::string> m_seeds;
+    std::set<std::string> m_members;
+    times m_heard;
+    times m_named;
+    std::uint64_t m_turn;
+};
+
+} // namespace lovagebeam::controlplane
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -32,6 +32,15 @@
 constexpr std::size_t min_voters = 3;
 constexpr std::chrono::seconds report_interval{1};
 
+std::set<std::string> seeds_of(const settings::process_settings& settings)
+{
+    std::set<std::string> out;
+    for (const auto& seed : settings.seeds) {
+        out.insert(seed.address);
+    }
+    return out;
+}
+
 consensus::repair_settings repair_settings_for(const settings::process_settings& settings)
 {
     consensus::repair_settings out;
@@ -48,11 +57,10 @@
                        targets::http_client& client, daemon::decision_loop& loop)
     : m_settings{settings}, m_initial_voters{std::move(initial_voters)},
       m_identity{std::move(identity)}, m_log{log}, m_links{links}, m_client{client}, m_loop{loop},
-      m_planner{repair_settings_for(settings)}
+      m_planner{repair_settings_for(settings)}, m_directory{
+                                                    settings.address, seeds_of(settings),
+                                                    std::hash<std::string>{}(settings.address)}
 {
-    for (const auto& seed : settings.seeds) {
-        m_seeds.insert(seed.address);
-    }
     m_durable_by_host[settings.address] = !settings.data_folder.empty();
 }
 
@@ -89,36 +97,38 @@
     if (!m_settings.is_first_start || !m_initial_voters.empty()) {
         return;
     }
-    const std::vector<std::string> seeds{m_seeds.begin(), m_seeds.end()};
+    const auto known_seeds = seeds_of(m_settings);
+    const std::vector<std::string> seeds{known_seeds.begin(), known_seeds.end()};
     const auto waited = std::chrono::duration_cast<std::chrono::milliseconds>(now - m_started);
     if (auto chosen = choose_initial_voters(seeds, m_durable_by_host, m_settings.address, waited)) {
         m_initial_voters = *std::move(chosen);
     }
 }
 
-std::vector<std::string> core_group::cores() const
+void core_group::update_members()
 {
-    std::set<std::string> known{m_settings.address};
+    std::set<std::string> members;
     const auto& config = m_log.replica().config();
     for (const auto* list : {&config.voters, &config.learners}) {
         for (const auto& member : *list) {
-            known.insert(member.id.str());
+            members.insert(member.id.str());
         }
     }
-    if (known.size() == 1) {
-        known.insert(m_seeds.begin(), m_seeds.end());
-        known.insert(m_reported_cores.begin(), m_reported_cores.end());
-    }
-    return {known.begin(), known.end()};
+    m_directory.set_members(std::move(members));
 }
 
-std::string core_group::leader(base::time_point now) const
+std::string core_group::leader_of_group(base::time_point now) const
 {
     if (m_log.is_leader()) {
         return m_log.is_established_leader(now) ? m_settings.address : std::string{};
     }
-    auto known = m_log.replica().leader().str();
-    if (!known.empty()) {
+    return m_log.replica().leader().str();
+}
+
+std::string core_group::leader(base::time_point now) const
+{
+    auto known = leader_of_group(now);
+    if (!known.empty() || m_log.is_leader()) {
         return known;
     }
     return now - m_leader_reported_at < reported_leader_timeout ? m_reported_leader : std::string{};
@@ -126,6 +136,7 @@
 
 void core_group::tick(base::time_point now)
 {
+    update_members();
     if (m_is_leading != m_log.is_established_leader(now)) {
         m_is_leading = !m_is_leading;
         m_leading_since = now;
@@ -137,9 +148,9 @@
         m_last_plan = now;
         plan_members(now);
     }
-    if (!m_is_leading && now - m_last_hello >= hello_interval) {
+    if (now - m_last_hello >= hello_interval) {
         m_last_hello = now;
-        send_hello(now);
+        send_hellos(now);
     }
     update_initial_voters(now);
     update_peers();
@@ -176,24 +187,32 @@
         .with("last_index", m_log.replica().last_index().value())
         .with("voters", absl::StrJoin(voters, ","))
         .with("connected_voters", absl::StrJoin(connected, ","))
-        .with("known", absl::StrJoin(cores(), ","))
+        .with("known", absl::StrJoin(cores(now), ","))
         .with("heard_from", absl::StrJoin(present, ","))
         .with("hellos", sent)
         .with("hellos_answered", answered)
         .write();
 }
 
+// Only processes with a disk take part in the group and relay calls.
 void core_group::update_peers()
 {
     std::set<std::string> wanted;
-    for (const auto& core : cores()) {
-        wanted.insert(core);
-    }
-    for (const auto& [id, core] : m_contacts) {
-        wanted.insert(id.str());
-    }
-    if (!m_reported_leader.empty()) {
-        wanted.insert(m_reported_leader);
+    if (!m_settings.data_folder.empty()) {
+        const auto& config = m_log.replica().config();
+        for (const auto* list : {&config.voters, &config.learners}) {
+            for (const auto& member : *list) {
+                wanted.insert(member.id.str());
+            }
+        }
+        for (const auto& [id, core] : m_contacts) {
+            if (core.is_durable) {
+                wanted.insert(id.str());
+            }
+        }
+        if (!m_reported_leader.empty()) {
+            wanted.insert(m_reported_leader);
+        }
     }
     if (wanted == m_peer_addresses) {
         return;
@@ -208,25 +227,28 @@
     m_links.update_peers(std::move(peers));
 }
 
-void core_group::send_hello(base::time_point now)
+void core_group::send_hellos(base::time_point now)
 {
-    std::string to = leader(now);
-    if (to.empty() || to == m_settings.address) {
-        std::set<std::string> known{m_seeds};
-        for (const auto& core : cores()) {
-            known.insert(core);
-        }
-        known.erase(m_settings.address);
-        if (known.empty()) {
-            return;
-        }
-        to = *std::next(known.begin(), static_cast<std::ptrdiff_t>(m_next_core++ % known.size()));
+    const auto to = leader(now);
+    if (!to.empty() && to != m_settings.address) {
+        send_hello(now, to);
     }
+    if (const auto other = m_directory.next(now, to); !other.empty()) {
+        send_hello(now, other);
+    }
+}
+
+void core_group::send_hello(base::time_point now, const std::string& to)
+{
     pb::CoreHello hello;
     hello.set_core(m_settings.address);
     hello.set_failure_domain(m_settings.domain.str());
     hello.set_incarnation(m_identity.incarnation.value());
     hello.set_durable(!m_settings.data_folder.empty());
+    hello.set_leader(leader_of_group(now));
+    for (const auto& core : m_directory.confirmed(now)) {
+        hello.add_cores(core);
+    }
     ++m_hellos;
     post_message<pb::CoreHelloAnswer>(
         m_client, to, core_port(m_settings), hello_path, hello, hello_timeout,
@@ -247,10 +269,18 @@
     if (m_initial_voters.empty()) {
         m_initial_voters = {answer.founders().begin(), answer.founders().end()};
     }
-    m_reported_cores = {answer.cores().begin(), answer.cores().end()};
-    const std::string leader = answer.is_leader() ? queried : answer.leader();
-    if (!leader.empty() && leader != m_settings.address) {
-        m_reported_leader = leader;
+    m_directory.on_heard(now, queried);
+    on_told(now, answer);
+}
+
+template <class Message>
+void core_group::on_told(base::time_point now, const Message& message)
+{
+    for (const auto& core : message.cores()) {
+        m_directory.on_named(now, core);
+    }
+    if (!message.leader().empty() && message.leader() != m_settings.address) {
+        m_reported_leader = message.leader();
         m_leader_reported_at = now;
     }
 }
@@ -263,14 +293,16 @@
                       message.durable(),
                       now};
     m_durable_by_host[message.core()] = message.durable();
+    m_directory.on_heard(now, message.core());
+    on_told(now, message);
     pb::CoreHelloAnswer answer;
     answer.set_durable(!m_settings.data_folder.empty());
     for (const auto& voter : m_initial_voters) {
         answer.add_founders(voter);
     }
     answer.set_is_leader(m_log.is_established_leader(now));
-    answer.set_leader(leader(now));
-    for (const auto& core : cores()) {
+    answer.set_leader(leader_of_group(now));
+    for (const auto& core : m_directory.confirmed(now)) {
         answer.add_cores(core);
     }
     return answer;
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -5,6 +5,7 @@
 #include "lovagebeam/targets/http_client.h"
 
 #include "controlplane.pb.h"
+#include "core_directory.h"
 #include "decision_loop.h"
 #include "peer_links.h"
 #include "replication.h"
@@ -17,10 +18,11 @@
 
 namespace lovagebeam::controlplane {
 
-/// Manages the membership of the core group: each process sends hello messages to the leader, which
-/// adds it to the group and replaces lost voters, and connects to the processes that it knows. A
-/// core process is identified by the IP address of its host. Not thread-safe; used on the decisions
-/// thread only.
+/// Manages the membership of the core group. Each process sends hello messages to the leader, which
+/// adds it to the group and replaces lost voters. Every process, the leader included, also sends
+/// them to all others that it knows in turn, so that a process that knows only processes without a
+/// copy of the state finds the group. Those with a disk connect to each other. A core process is
+/// identified by the IP address of its host. Not thread-safe; used on the decisions thread only.
 class core_group {
 public:
     /// `initial_voters` is empty if this process isn't one of them.
@@ -32,8 +34,11 @@
     proto::controlplane::CoreHelloAnswer on_hello(base::time_point now,
                                                   const proto::controlplane::CoreHello& message);
 
-    /// Returns the addresses of the known core processes.
-    [[nodiscard]] std::vector<std::string> cores() const;
+    /// Returns the addresses of the known core processes, this one included.
+    [[nodiscard]] std::set<std::string> cores(base::time_point now) const
+    {
+        return m_directory.known(now);
+    }
     /// Returns the addresses of the other core processes that may call workers on behalf of the
     /// leader: those with a disk, whose hosts are as large as the leader's.
     [[nodiscard]] std::vector<std::string> relays(base::time_point now) const;
@@ -48,9 +53,17 @@
         base::time_point last_contact;
     };
 
-    void send_hello(base::time_point now);
+    /// Returns the leader that the group of this process has; empty without one. Unlike `leader`
+    /// it isn't hearsay, which two processes could keep alive by telling each other.
+    [[nodiscard]] std::string leader_of_group(base::time_point now) const;
+    void send_hellos(base::time_point now);
+    void send_hello(base::time_point now, const std::string& to);
     void on_hello_answer(base::time_point now, const std::string& queried,
                          const proto::controlplane::CoreHelloAnswer& answer);
+    /// Records what another process says of the leader and of other processes.
+    template <class Message>
+    void on_told(base::time_point now, const Message& message);
+    void update_members();
     void update_peers();
     void plan_members(base::time_point now);
     [[nodiscard]] bool add_missing_learner(base::time_point now);
@@ -73,13 +86,11 @@
     targets::http_client& m_client;
     daemon::decision_loop& m_loop;
     consensus::repair_planner m_planner;
-    std::set<std::string> m_seeds;
+    core_directory m_directory;
     std::map<base::node_id, core_contact> m_contacts;
-    std::set<std::string> m_reported_cores; ///< core processes in the last hello answer
     std::string m_reported_leader;
     base::time_point m_leader_reported_at;
     std::set<std::string> m_peer_addresses;
-    std::uint64_t m_next_core = 0;
     base::time_point m_last_hello;
     std::uint64_t m_hellos = 0;          ///< sent since the last report
     std::uint64_t m_hellos_answered = 0; ///< since the last report
