Record the addresses of the core processes in the replicated state

Cause: the members of the group look for the others among their seeds and those that said hello. The seeds of two processes may have been written at different times. If those of the members are all members and those of the others all have no disk, then neither part looks for the other after a restart of all, as core_discovery_test::restart_seeds_of_two_kinds_all_find_leader shows (failed before: no leader known for 20 s).

Change: the leader keeps the addresses that it knows at first hand in the ledger (PutCores), compared once a second; members call these too. An address that wasn't heard for ten minutes is dropped, by a leader that has led that long. Metric lovagebeam_core_addresses. The directory remembers addresses for ten minutes instead of 20 s, longer than a usual cut between hosts.

--- a/include/lovagebeam/jobs/ledger.h
+++ b/include/lovagebeam/jobs/ledger.h
@@ -101,6 +101,10 @@
     /// The sum over all queues.
     [[nodiscard]] std::uint64_t pending() const;
 
+    /// The core processes that a leader knew: after a restart of all of them, their addresses are
+    /// known nowhere else.
+    [[nodiscard]] const std::set<std::string>& core_addresses() const { return m_cores; }
+
     [[nodiscard]] std::uint64_t catalog_version() const { return m_catalog_version; }
     [[nodiscard]] const std::string& catalog_document() const { return m_catalog; }
 
@@ -142,6 +146,7 @@
     std::map<base::worker_id, departure> m_departed;
     std::uint64_t m_catalog_version = 0;
     std::string m_catalog;
+    std::set<std::string> m_cores;
     std::uint64_t m_history = 0;
 
     // Derived from the above.
--- a/src/controlplane/core_directory.cpp
+++ b/src/controlplane/core_directory.cpp
@@ -1,18 +1,9 @@
 #include "core_directory.h"
 
-#include <chrono>
 #include <iterator>
 #include <utility>
 
 namespace lovagebeam::controlplane {
-namespace {
-
-/// An address that wasn't heard or named for this long is forgotten. Longer than a host takes to
-/// restart.
-constexpr std::chrono::seconds address_timeout{20};
-
-} // namespace
-
 core_directory::core_directory(std::string self, std::set<std::string> seeds,
                                std::uint64_t first_turn)
     : m_self{std::move(self)}, m_seeds{std::move(seeds)}, m_turn{first_turn}
@@ -52,6 +43,7 @@
 {
     auto out = confirmed(now);
     out.insert(m_seeds.begin(), m_seeds.end());
+    out.insert(m_recorded.begin(), m_recorded.end());
     add_recent(now, m_named, out);
     return out;
 }
--- a/src/controlplane/core_directory.h
+++ b/src/controlplane/core_directory.h
@@ -2,6 +2,7 @@
 
 #include "lovagebeam/base/types.h"
 
+#include <chrono>
 #include <cstdint>
 #include <map>
 #include <set>
@@ -16,12 +17,18 @@
 /// thread-safe; used on the decisions thread only.
 class core_directory {
 public:
+    /// An address that wasn't heard or named for this long is forgotten. Longer than a host is
+    /// usually cut off.
+    static constexpr std::chrono::minutes address_timeout{10};
+
     /// `first_turn` differs between processes, so that they don't call the others in the same
     /// order.
     core_directory(std::string self, std::set<std::string> seeds, std::uint64_t first_turn);
 
     /// Replaces the members of the group, as the log of this process has them.
     void set_members(std::set<std::string> members) { m_members = std::move(members); }
+    /// Replaces the addresses in the replicated state.
+    void set_recorded(std::set<std::string> recorded) { m_recorded = std::move(recorded); }
     /// Records a message from `address` itself.
     void on_heard(base::time_point now, const std::string& address);
     /// Records that another process named `address`.
@@ -29,7 +36,7 @@
 
     /// Returns the members, the processes that were heard lately and this one.
     [[nodiscard]] std::set<std::string> confirmed(base::time_point now) const;
-    /// Returns `confirmed`, the seeds and the addresses that were named lately.
+    /// Returns `confirmed`, the seeds, the recorded addresses and those that were named lately.
     [[nodiscard]] std::set<std::string> known(base::time_point now) const;
     /// Returns all known addresses but this process's own and `skipped` in turn; empty if there are
     /// none.
@@ -43,6 +50,7 @@
     std::string m_self;
     std::set<std::string> m_seeds;
     std::set<std::string> m_members;
+    std::set<std::string> m_recorded;
     times m_heard;
     times m_named;
     std::uint64_t m_turn;
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -117,6 +117,16 @@
     m_directory.set_members(std::move(members));
 }
 
+std::set<std::string> core_group::to_record(base::time_point now,
+                                            const std::set<std::string>& recorded) const
+{
+    auto out = m_directory.confirmed(now);
+    if (now - m_leading_since < core_directory::address_timeout) {
+        out.insert(recorded.begin(), recorded.end());
+    }
+    return out;
+}
+
 std::string core_group::leader_of_group(base::time_point now) const
 {
     if (m_log.is_leader()) {
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -39,6 +39,15 @@
     {
         return m_directory.known(now);
     }
+    /// Sets the addresses in the replicated state.
+    void set_recorded(std::set<std::string> recorded)
+    {
+        m_directory.set_recorded(std::move(recorded));
+    }
+    /// Returns the addresses that the leader records in place of `recorded`: those that it knows at
+    /// first hand, and at first also the recorded ones, which it may not have heard yet.
+    [[nodiscard]] std::set<std::string> to_record(base::time_point now,
+                                                  const std::set<std::string>& recorded) const;
     /// Returns the addresses of the other core processes that may call workers on behalf of the
     /// leader: those with a disk, whose hosts are as large as the leader's.
     [[nodiscard]] std::vector<std::string> relays(base::time_point now) const;
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -6,6 +6,8 @@
 
 #include "internal_calls.h"
 
+#include <absl/strings/str_join.h>
+
 #include <algorithm>
 #include <chrono>
 #include <utility>
@@ -40,6 +42,8 @@
 /// Interval at which the set of relays is updated with core processes that joined or left.
 constexpr std::chrono::milliseconds relay_update_interval{100};
 constexpr std::chrono::seconds metrics_interval{1};
+/// Interval at which the leader compares the known core processes with the recorded ones.
+constexpr std::chrono::seconds record_interval{1};
 constexpr std::size_t max_internal_body_bytes = std::size_t{2} << 20U;
 
 std::vector<std::string> initial_voters_of(const settings::daemon_settings& settings)
@@ -216,12 +220,14 @@
     m_group.tick(now);
     if (now - m_last_relay_update >= relay_update_interval) {
         m_last_relay_update = now;
+        m_group.set_recorded(records().core_addresses());
         update_relays();
     }
     m_worker_port.tick(now);
     if (m_log.is_established_leader(now) && !m_is_stopped) {
         start_leading(now);
         m_callers.tick(now);
+        record_cores(now);
     }
     else {
         m_callers.stop_leading();
@@ -259,6 +265,28 @@
     m_worker_port.set_worker_count(records().workers().size());
 }
 
+void core_host_implementation::record_cores(base::time_point now)
+{
+    if (now - m_last_cores_record < record_interval) {
+        return;
+    }
+    m_last_cores_record = now;
+    const auto& recorded = records().core_addresses();
+    const auto wanted = m_group.to_record(now, recorded);
+    if (wanted == recorded) {
+        return;
+    }
+    log_event{severity::info, "core_addresses_changed"}
+        .with("before", absl::StrJoin(recorded, ","))
+        .with("now", absl::StrJoin(wanted, ","))
+        .write();
+    proto::jobs::Operation operation;
+    for (const auto& address : wanted) {
+        operation.mutable_put_cores()->add_addresses(address);
+    }
+    commit(now, std::move(operation), [](commit_outcome) {});
+}
+
 void core_host_implementation::start_leading(base::time_point now)
 {
     if (m_coordinator) {
--- a/src/controlplane/core_host_implementation.h
+++ b/src/controlplane/core_host_implementation.h
@@ -78,6 +78,8 @@
     /// The time of day that decisions use.
     [[nodiscard]] base::wall_time wall(base::time_point now);
     void update_relays();
+    /// Keeps the addresses of the known core processes in the replicated state. Leader only.
+    void record_cores(base::time_point now);
     void start_leading(base::time_point now);
     void stop_leading();
     void execute_decisions(base::time_point now);
@@ -97,6 +99,7 @@
     load_report m_load;
     base::time_point m_last_metrics_update;
     base::time_point m_last_relay_update;
+    base::time_point m_last_cores_record;
     base::time_point m_last_relay_flush;
     std::unique_ptr<storage::file_system> m_files;
     daemon::decision_loop m_loop;
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -91,6 +91,8 @@
     m_registry.gauge_named("lovagebeam_is_leader").set(leader == nullptr ? 0 : 1);
     m_registry.gauge_named("lovagebeam_configuration_version")
         .set(static_cast<double>(records.catalog_version()));
+    m_registry.gauge_named("lovagebeam_core_addresses")
+        .set(static_cast<double>(records.core_addresses().size()));
     m_registry.gauge_named("lovagebeam_open_jobs")
         .set(static_cast<double>(records.open_jobs().size()));
     m_registry.gauge_named("lovagebeam_pending_jobs").set(static_cast<double>(records.pending()));
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -103,6 +103,10 @@
         return;
     case pb::Operation::kForget:
         return apply(operation.forget());
+    case pb::Operation::kPutCores:
+        m_cores = {operation.put_cores().addresses().begin(),
+                   operation.put_cores().addresses().end()};
+        return;
     case pb::Operation::BODY_NOT_SET:
         return;
     }
--- a/src/jobs/ledger_snapshot.cpp
+++ b/src/jobs/ledger_snapshot.cpp
@@ -101,6 +101,9 @@
     }
     out.mutable_catalog()->set_version(m_catalog_version);
     out.mutable_catalog()->set_document(m_catalog);
+    for (const auto& address : m_cores) {
+        out.add_core_addresses(address);
+    }
     out.set_history(m_history);
     return out.SerializeAsString();
 }
@@ -139,6 +142,7 @@
     }
     m_catalog_version = message.catalog().version();
     m_catalog = message.catalog().document();
+    m_cores = {message.core_addresses().begin(), message.core_addresses().end()};
     m_history = message.history();
     return absl::OkStatus();
 }
--- a/tests/controlplane/core_discovery_test.cpp
+++ b/tests/controlplane/core_discovery_test.cpp
@@ -66,6 +66,7 @@
     CPPUNIT_TEST_SUITE(core_discovery_test);
     CPPUNIT_TEST(restart_seeds_without_disk_all_find_leader);
     CPPUNIT_TEST(restart_seeds_include_lost_disk_all_find_leader);
+    CPPUNIT_TEST(restart_seeds_of_two_kinds_all_find_leader);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -118,6 +119,20 @@
         CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
     }
 
+    // The settings files were written at different times: no process with a disk has one without
+    // as a seed, or the other way round. Guards against two parts that don't know each other.
+    void restart_seeds_of_two_kinds_all_find_leader()
+    {
+        CPPUNIT_ASSERT(test::wait_until([this] { return all_have_recorded_cores(); }));
+        stop_all();
+        set_seeds({m_diskless[0].get(), m_diskless[1].get(), m_diskless[2].get()});
+        for (const auto& machine : m_durable) {
+            machine->seeds = {m_durable[0]->address, m_durable[1]->address, m_durable[2]->address};
+        }
+        start_all(false);
+        CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
+    }
+
 private:
     [[nodiscard]] std::vector<core_machine*> all() const
     {
@@ -211,6 +226,15 @@
         });
     }
 
+    // Whether every process with a disk has all core processes in its copy of the state.
+    [[nodiscard]] bool all_have_recorded_cores() const
+    {
+        return std::ranges::all_of(m_durable, [](const auto& machine) {
+            return machine->metrics.render().find("lovagebeam_core_addresses 6\n") !=
+                   std::string::npos;
+        });
+    }
+
     static constexpr std::uint16_t first_port = 7420;
 
     unused_worker_port m_workers;
