Name only a leader that is in contact

Cause: a learner has no election timeout and keeps the last leader that it heard, also after the group has lost its majority or the learner was removed. Hellos spread the name: processes without a copy of the state sent callers, workers and entry processes to an address that doesn't lead, and wrote no no_leader line.

Change: a process names the leader of its group only within 600 ms of its last message, the longest election timeout. Renames on_told, to_record, set_recorded and a test for clarity.

--- a/src/controlplane/core_directory.h
+++ b/src/controlplane/core_directory.h
@@ -28,7 +28,10 @@
     /// Replaces the members of the group, as the log of this process has them.
     void set_members(std::set<std::string> members) { m_members = std::move(members); }
     /// Replaces the addresses in the replicated state.
-    void set_recorded(std::set<std::string> recorded) { m_recorded = std::move(recorded); }
+    void set_recorded_addresses(std::set<std::string> recorded)
+    {
+        m_recorded = std::move(recorded);
+    }
     /// Records a message from `address` itself.
     void on_heard(base::time_point now, const std::string& address);
     /// Records that another process named `address`.
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -29,6 +29,9 @@
 constexpr std::chrono::seconds lost_learner_timeout{20};
 /// How long the leader's address from another process is used.
 constexpr std::chrono::milliseconds reported_leader_timeout{1'500};
+/// A leader that was silent for longer isn't named. A voter's election starts by then; a learner
+/// has no election timeout and would keep a former leader.
+constexpr std::chrono::milliseconds max_leader_silence{600};
 constexpr std::size_t min_voters = 3;
 constexpr std::chrono::seconds report_interval{1};
 
@@ -117,8 +120,8 @@
     m_directory.set_members(std::move(members));
 }
 
-std::set<std::string> core_group::to_record(base::time_point now,
-                                            const std::set<std::string>& recorded) const
+std::set<std::string> core_group::addresses_to_record(base::time_point now,
+                                                      const std::set<std::string>& recorded) const
 {
     auto out = m_directory.confirmed(now);
     if (now - m_leading_since < core_directory::address_timeout) {
@@ -132,7 +135,9 @@
     if (m_log.is_leader()) {
         return m_log.is_established_leader(now) ? m_settings.address : std::string{};
     }
-    return m_log.replica().leader().str();
+    const auto& last_contact = m_log.contact().last_leader_contact;
+    const bool is_in_contact = last_contact && now - *last_contact < max_leader_silence;
+    return is_in_contact ? m_log.replica().leader().str() : std::string{};
 }
 
 std::string core_group::leader(base::time_point now) const
@@ -280,11 +285,11 @@
         m_initial_voters = {answer.founders().begin(), answer.founders().end()};
     }
     m_directory.on_heard(now, queried);
-    on_told(now, answer);
+    on_peer_info(now, answer);
 }
 
 template <class Message>
-void core_group::on_told(base::time_point now, const Message& message)
+void core_group::on_peer_info(base::time_point now, const Message& message)
 {
     for (const auto& core : message.cores()) {
         m_directory.on_named(now, core);
@@ -304,7 +309,7 @@
                       now};
     m_durable_by_host[message.core()] = message.durable();
     m_directory.on_heard(now, message.core());
-    on_told(now, message);
+    on_peer_info(now, message);
     pb::CoreHelloAnswer answer;
     answer.set_durable(!m_settings.data_folder.empty());
     for (const auto& voter : m_initial_voters) {
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -40,14 +40,14 @@
         return m_directory.known(now);
     }
     /// Sets the addresses in the replicated state.
-    void set_recorded(std::set<std::string> recorded)
+    void set_recorded_addresses(std::set<std::string> recorded)
     {
-        m_directory.set_recorded(std::move(recorded));
+        m_directory.set_recorded_addresses(std::move(recorded));
     }
     /// Returns the addresses that the leader records in place of `recorded`: those that it knows at
     /// first hand, and at first also the recorded ones, which it may not have heard yet.
-    [[nodiscard]] std::set<std::string> to_record(base::time_point now,
-                                                  const std::set<std::string>& recorded) const;
+    [[nodiscard]] std::set<std::string>
+    addresses_to_record(base::time_point now, const std::set<std::string>& recorded) const;
     /// Returns the addresses of the other core processes that may call workers on behalf of the
     /// leader: those with a disk, whose hosts are as large as the leader's.
     [[nodiscard]] std::vector<std::string> relays(base::time_point now) const;
@@ -62,8 +62,9 @@
         base::time_point last_contact;
     };
 
-    /// Returns the leader that the group of this process has; empty without one. Unlike `leader`
-    /// it isn't hearsay, which two processes could keep alive by telling each other.
+    /// Returns the leader of which this process is a member in contact, or itself; empty without
+    /// one. Unlike `leader` it wasn't reported by others: two processes could keep such a report
+    /// alive by sending it to each other.
     [[nodiscard]] std::string leader_of_group(base::time_point now) const;
     void send_hellos(base::time_point now);
     void send_hello(base::time_point now, const std::string& to);
@@ -71,7 +72,7 @@
                          const proto::controlplane::CoreHelloAnswer& answer);
     /// Records what another process says of the leader and of other processes.
     template <class Message>
-    void on_told(base::time_point now, const Message& message);
+    void on_peer_info(base::time_point now, const Message& message);
     void update_members();
     void update_peers();
     void plan_members(base::time_point now);
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -220,7 +220,7 @@
     m_group.tick(now);
     if (now - m_last_relay_update >= relay_update_interval) {
         m_last_relay_update = now;
-        m_group.set_recorded(records().core_addresses());
+        m_group.set_recorded_addresses(records().core_addresses());
         update_relays();
     }
     m_worker_port.tick(now);
@@ -272,7 +272,7 @@
     }
     m_last_cores_record = now;
     const auto& recorded = records().core_addresses();
-    const auto wanted = m_group.to_record(now, recorded);
+    const auto wanted = m_group.addresses_to_record(now, recorded);
     if (wanted == recorded) {
         return;
     }
--- a/tests/controlplane/core_discovery_test.cpp
+++ b/tests/controlplane/core_discovery_test.cpp
@@ -61,12 +61,13 @@
     std::unique_ptr<core_host> process;
 };
 
-/// Three hosts with a disk and three without.
+/// Four hosts with a disk, of which the first three are the initial voters, and three without.
 class core_discovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(core_discovery_test);
     CPPUNIT_TEST(restart_seeds_without_disk_all_find_leader);
     CPPUNIT_TEST(restart_seeds_include_lost_disk_all_find_leader);
-    CPPUNIT_TEST(restart_seeds_of_two_kinds_all_find_leader);
+    CPPUNIT_TEST(restart_disjoint_seeds_all_find_leader);
+    CPPUNIT_TEST(lost_majority_no_leader_is_named);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -78,13 +79,15 @@
                    ("core_discovery_test." + std::to_string(::getpid()));
         std::filesystem::remove_all(m_folder);
         std::filesystem::create_directories(m_folder);
-        for (int i = 1; i <= 3; ++i) {
+        for (int i = 1; i <= 4; ++i) {
             const auto name = std::to_string(i);
             m_durable.push_back(std::make_unique<core_machine>());
             m_durable.back()->address = network + name + ".1";
             m_durable.back()->data_folder = m_folder / name;
+        }
+        for (int i = 1; i <= 3; ++i) {
             m_diskless.push_back(std::make_unique<core_machine>());
-            m_diskless.back()->address = network + name + ".2";
+            m_diskless.back()->address = network + std::to_string(i) + ".2";
         }
         m_client.start();
         set_seeds({m_durable[0].get(), m_durable[1].get(), m_durable[2].get()});
@@ -121,7 +124,7 @@
 
     // The settings files were written at different times: no process with a disk has one without
     // as a seed, or the other way round. Guards against two parts that don't know each other.
-    void restart_seeds_of_two_kinds_all_find_leader()
+    void restart_disjoint_seeds_all_find_leader()
     {
         CPPUNIT_ASSERT(test::wait_until([this] { return all_have_recorded_cores(); }));
         stop_all();
@@ -133,6 +136,25 @@
         CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
     }
 
+    // Guards against a learner, which has no election timeout, that names its last leader for good
+    // and spreads the name.
+    void lost_majority_no_leader_is_named()
+    {
+        const auto leader = sync_with(m_durable[3]->address)->leader();
+        const auto is_voter_left = [&](const auto& machine) {
+            return machine->address != leader && machine != m_durable[3];
+        };
+        const auto stopped = std::ranges::find_if(m_durable, is_voter_left);
+        const auto leading = std::ranges::find(m_durable, leader, &core_machine::address);
+        CPPUNIT_ASSERT(stopped != m_durable.end() && leading != m_durable.end());
+        stop({stopped->get(), leading->get()});
+        CPPUNIT_ASSERT(test::wait_until([this] {
+            return std::ranges::all_of(all(), [this](const core_machine* machine) {
+                return !machine->process || sync_with(machine->address)->leader().empty();
+            });
+        }));
+    }
+
 private:
     [[nodiscard]] std::vector<core_machine*> all() const
     {
@@ -188,10 +210,13 @@
         }
     }
 
-    void stop_all()
+    void stop_all() { stop(all()); }
+
+    // At the same moment, so that the group doesn't replace one of them meanwhile.
+    static void stop(const std::vector<core_machine*>& machines)
     {
         std::vector<std::future<void>> stopped;
-        for (auto* machine : all()) {
+        for (auto* machine : machines) {
             stopped.push_back(
                 std::async(std::launch::async, [machine] { machine->process.reset(); }));
         }
@@ -230,7 +255,7 @@
     [[nodiscard]] bool all_have_recorded_cores() const
     {
         return std::ranges::all_of(m_durable, [](const auto& machine) {
-            return machine->metrics.render().find("lovagebeam_core_addresses 6\n") !=
+            return machine->metrics.render().find("lovagebeam_core_addresses 7\n") !=
                    std::string::npos;
         });
     }
