Refuse hellos without an address

Cause: a hello was accepted whatever it named as its sender, also an empty text, which an empty body has. The name went into the list of core processes that others are told, and by the leader into the replicated state. Names that aren't addresses could come from another writer's message.

Change: status 400 unless the sender is an IP address; other names that aren't addresses are ignored. Entry processes, which never forget an address, are told only those known at first hand and the recorded ones.

--- a/src/controlplane/core_calls.cpp
+++ b/src/controlplane/core_calls.cpp
@@ -117,7 +117,7 @@
                                            const callers::reply& reply)
 {
     pb::CoreHello hello;
-    if (!hello.ParseFromString(body)) {
+    if (!hello.ParseFromString(body) || !core_directory::is_address(hello.core())) {
         reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
         return;
     }
--- a/src/controlplane/core_directory.cpp
+++ b/src/controlplane/core_directory.cpp
@@ -1,6 +1,8 @@
 #include "core_directory.h"
 
+#include <arpa/inet.h>
 #include <iterator>
+#include <netinet/in.h>
 #include <utility>
 
 namespace lovagebeam::controlplane {
@@ -10,6 +12,13 @@
 {
 }
 
+bool core_directory::is_address(const std::string& text)
+{
+    in6_addr parsed{};
+    return ::inet_pton(AF_INET, text.c_str(), &parsed) == 1 ||
+           ::inet_pton(AF_INET6, text.c_str(), &parsed) == 1;
+}
+
 void core_directory::on_heard(base::time_point now, const std::string& address)
 {
     std::erase_if(m_heard, [now](const auto& each) { return now - each.second > address_timeout; });
@@ -39,11 +48,17 @@
     return out;
 }
 
-std::set<std::string> core_directory::known(base::time_point now) const
+std::set<std::string> core_directory::confirmed_or_recorded(base::time_point now) const
 {
     auto out = confirmed(now);
-    out.insert(m_seeds.begin(), m_seeds.end());
     out.insert(m_recorded.begin(), m_recorded.end());
+    return out;
+}
+
+std::set<std::string> core_directory::known(base::time_point now) const
+{
+    auto out = confirmed_or_recorded(now);
+    out.insert(m_seeds.begin(), m_seeds.end());
     add_recent(now, m_named, out);
     return out;
 }
--- a/src/controlplane/core_directory.h
+++ b/src/controlplane/core_directory.h
@@ -17,6 +17,9 @@
 /// thread-safe; used on the decisions thread only.
 class core_directory {
 public:
+    /// Whether the text is the address of a host, as core processes identify each other.
+    [[nodiscard]] static bool is_address(const std::string& text);
+
     /// An address that wasn't heard or named for this long is forgotten. Longer than a host is
     /// usually cut off.
     static constexpr std::chrono::minutes address_timeout{10};
@@ -37,8 +40,11 @@
     /// Records that another process named `address`.
     void on_named(base::time_point now, const std::string& address);
 
-    /// Returns the members, the processes that were heard lately and this one.
+    /// Returns the members, the processes that were heard lately and this one: what is told to
+    /// others.
     [[nodiscard]] std::set<std::string> confirmed(base::time_point now) const;
+    /// Returns `confirmed` and the recorded addresses.
+    [[nodiscard]] std::set<std::string> confirmed_or_recorded(base::time_point now) const;
     /// Returns `confirmed`, the seeds, the recorded addresses and those that were named lately.
     [[nodiscard]] std::set<std::string> known(base::time_point now) const;
     /// Returns all known addresses but this process's own and `skipped` in turn; empty if there are
--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -202,7 +202,7 @@
         .with("last_index", m_log.replica().last_index().value())
         .with("voters", absl::StrJoin(voters, ","))
         .with("connected_voters", absl::StrJoin(connected, ","))
-        .with("known", absl::StrJoin(cores(now), ","))
+        .with("known", absl::StrJoin(m_directory.known(now), ","))
         .with("heard_from", absl::StrJoin(present, ","))
         .with("hellos", sent)
         .with("hellos_answered", answered)
@@ -292,9 +292,11 @@
 void core_group::on_peer_info(base::time_point now, const Message& message)
 {
     for (const auto& core : message.cores()) {
-        m_directory.on_named(now, core);
+        if (core_directory::is_address(core)) {
+            m_directory.on_named(now, core);
+        }
     }
-    if (!message.leader().empty() && message.leader() != m_settings.address) {
+    if (core_directory::is_address(message.leader()) && message.leader() != m_settings.address) {
         m_reported_leader = message.leader();
         m_leader_reported_at = now;
     }
--- a/src/controlplane/core_group.h
+++ b/src/controlplane/core_group.h
@@ -34,10 +34,11 @@
     proto::controlplane::CoreHelloAnswer on_hello(base::time_point now,
                                                   const proto::controlplane::CoreHello& message);
 
-    /// Returns the addresses of the known core processes, this one included.
+    /// Returns the addresses that entry processes are told, this one included. They never forget
+    /// one, so none at second hand is among them.
     [[nodiscard]] std::set<std::string> cores(base::time_point now) const
     {
-        return m_directory.known(now);
+        return m_directory.confirmed_or_recorded(now);
     }
     /// Sets the addresses in the replicated state.
     void set_recorded_addresses(std::set<std::string> recorded)
--- a/tests/controlplane/core_discovery_test.cpp
+++ b/tests/controlplane/core_discovery_test.cpp
@@ -68,6 +68,7 @@
     CPPUNIT_TEST(restart_seeds_include_lost_disk_all_find_leader);
     CPPUNIT_TEST(restart_disjoint_seeds_all_find_leader);
     CPPUNIT_TEST(lost_majority_no_leader_is_named);
+    CPPUNIT_TEST(hello_without_address_is_refused);
     CPPUNIT_TEST_SUITE_END();
 
 public:
@@ -155,6 +156,22 @@
         }));
     }
 
+    // Guards against a text that isn't an address in the list that processes and the state keep.
+    void hello_without_address_is_refused()
+    {
+        for (const std::string core : {"", "nonsense", "127.0.0.1:7420"}) {
+            pb::CoreHello hello;
+            hello.set_core(core);
+            CPPUNIT_ASSERT(!call<pb::CoreHelloAnswer>(m_durable[0]->address, hello_path, hello));
+        }
+        pb::CoreHello hello;
+        hello.set_core(m_diskless[0]->address);
+        hello.add_cores("nonsense");
+        CPPUNIT_ASSERT(call<pb::CoreHelloAnswer>(m_durable[0]->address, hello_path, hello));
+        const auto cores = sync_with(m_durable[0]->address)->cores();
+        CPPUNIT_ASSERT(std::ranges::find(cores, "nonsense") == cores.end());
+    }
+
 private:
     [[nodiscard]] std::vector<core_machine*> all() const
     {
@@ -225,19 +242,26 @@
         }
     }
 
-    std::optional<pb::SyncAnswer> sync_with(const std::string& address)
+    template <class Answer>
+    std::optional<Answer> call(const std::string& address, std::string_view path,
+                               const google::protobuf::MessageLite& request)
     {
         settings::process_settings ports;
         ports.first_internal_port = first_port;
-        std::promise<std::optional<pb::SyncAnswer>> answered;
-        pb::SyncRequest request;
-        request.set_entry("127.0.0.1");
-        post_message<pb::SyncAnswer>(
-            m_client, address, core_port(ports), sync_path, request, 1s,
+        std::promise<std::optional<Answer>> answered;
+        post_message<Answer>(
+            m_client, address, core_port(ports), path, request, 1s,
             [&](auto answer, call_failure) { answered.set_value(std::move(answer)); });
         return answered.get_future().get();
     }
 
+    std::optional<pb::SyncAnswer> sync_with(const std::string& address)
+    {
+        pb::SyncRequest request;
+        request.set_entry("127.0.0.1");
+        return call<pb::SyncAnswer>(address, sync_path, request);
+    }
+
     // Whether every process names the process that leads.
     bool all_know_leader()
     {
