Ask all seeds at once until the initial voters are known

Cause: at a first start, the seeds choose the initial voters once they know which of them have a disk. With hellos to all known processes in turn, the seeds have to wait for theirs, and a set that grows may skip one.

Change: until the initial voters are known, hellos go to all seeds each time.

--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -248,6 +248,15 @@
     if (!to.empty() && to != m_settings.address) {
         send_hello(now, to);
     }
+    if (m_settings.is_first_start && m_initial_voters.empty()) {
+        // The first seed chooses the initial voters once all seeds have answered.
+        for (const auto& seed : seeds_of(m_settings)) {
+            if (seed != m_settings.address && seed != to) {
+                send_hello(now, seed);
+            }
+        }
+        return;
+    }
     if (const auto other = m_directory.next(now, to); !other.empty()) {
         send_hello(now, other);
     }
--- a/tests/controlplane/core_discovery_test.cpp
+++ b/tests/controlplane/core_discovery_test.cpp
@@ -64,6 +64,7 @@
 /// Four hosts with a disk, of which the first three are the initial voters, and three without.
 class core_discovery_test : public CppUnit::TestFixture {
     CPPUNIT_TEST_SUITE(core_discovery_test);
+    CPPUNIT_TEST(first_start_seeds_without_disk_all_find_leader);
     CPPUNIT_TEST(restart_seeds_without_disk_all_find_leader);
     CPPUNIT_TEST(restart_seeds_include_lost_disk_all_find_leader);
     CPPUNIT_TEST(restart_disjoint_seeds_all_find_leader);
@@ -103,6 +104,18 @@
         std::filesystem::remove_all(m_folder);
     }
 
+    // Guards against a group that no process without a disk is told of at its first start.
+    void first_start_seeds_without_disk_all_find_leader()
+    {
+        stop_all();
+        for (const auto& machine : m_durable) {
+            std::filesystem::remove_all(machine->data_folder);
+        }
+        set_seeds({m_diskless[0].get(), m_diskless[1].get(), m_diskless[2].get()});
+        start_all(true);
+        CPPUNIT_ASSERT(test::wait_until([this] { return all_know_leader(); }));
+    }
+
     // Guards against processes that stay without a leader after a loss of power: their seeds have
     // no disk, so that none of them knows the processes with the state, and these look for nobody.
     void restart_seeds_without_disk_all_find_leader()
--- a/tests/jobs/ledger_test.cpp
+++ b/tests/jobs/ledger_test.cpp
@@ -25,6 +25,7 @@
     CPPUNIT_TEST(first_report_of_next_instance_counts);
     CPPUNIT_TEST(departed_instance_registers_again_is_ignored);
     CPPUNIT_TEST(departed_instance_after_snapshot_is_still_ignored);
+    CPPUNIT_TEST(core_addresses_after_snapshot_are_kept);
     CPPUNIT_TEST(next_instance_after_departure_registers);
     CPPUNIT_TEST(departure_without_start_time_removes_any_instance);
     CPPUNIT_TEST_SUITE_END();
@@ -88,6 +89,17 @@
         CPPUNIT_ASSERT(!m_records.workers().contains(m_worker));
     }
 
+    // Guards against core processes that a group restarted from a snapshot doesn't look for.
+    void core_addresses_after_snapshot_are_kept()
+    {
+        proto::jobs::Batch batch;
+        batch.add_operations()->mutable_put_cores()->add_addresses("127.0.0.2");
+        CPPUNIT_ASSERT(m_records.apply(batch.SerializeAsString()).ok());
+        ledger restored;
+        CPPUNIT_ASSERT(restored.decode(m_records.encode()).ok());
+        CPPUNIT_ASSERT(std::set<std::string>{"127.0.0.2"} == restored.core_addresses());
+    }
+
     // Guards against a departure that is forgotten when a process restarts from a snapshot.
     void departed_instance_after_snapshot_is_still_ignored()
     {
