Limit the memory of the answers of targets

What was seen: one worker that answers calls with trailers or a chunk extension without end raised a core process to 601 and 619 MB (bound 273 MB).

Cause: Beast limits the header and the body of a message, but keeps the line before a chunk and all trailers in the read buffer until they are complete, and the buffer had no limit. Many answers, each within the limits, weren't limited together either: 2 MB on each of four connections to every worker.

Change: the buffer of a connection holds a header and 16 KiB more; beyond that a call ends as answer_too_large. Bodies are counted while they arrive, 64 MiB for all connections of a client, without the first 64 KiB of each, so that the answers of ordinary targets are read whatever others send.

--- a/include/lovagebeam/targets/http_client.h
+++ b/include/lovagebeam/targets/http_client.h
@@ -95,6 +95,9 @@
     std::size_t max_response_header_bytes = std::size_t{16} * 1024;
     /// Less than the 4 MiB of a peer message, which carries the response to the entry host.
     std::size_t max_response_body_bytes = std::size_t{2} * 1024 * 1024;
+    /// Response bodies that are being read, all together, without the first 64 KiB of each. Beyond
+    /// it, calls end as `answer_too_large`.
+    std::size_t max_response_memory_bytes = std::size_t{64} * 1024 * 1024;
     std::chrono::milliseconds connect_timeout{1'000};
     /// Idle connections are closed after this time instead of being probed.
     std::chrono::milliseconds idle_timeout{5'000};
--- a/src/targets/connection.cpp
+++ b/src/targets/connection.cpp
@@ -5,6 +5,7 @@
 #include <boost/beast/http/read.hpp>
 #include <boost/beast/http/write.hpp>
 
+#include <algorithm>
 #include <cerrno>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
@@ -28,7 +29,14 @@
 
 constexpr unsigned http_1_1 = 11;
 constexpr unsigned first_final_status = 200;
-constexpr std::size_t max_retained_buffer_bytes = std::size_t{64} * 1024;
+constexpr std::size_t max_retained_buffer_bytes = std::size_t{16} * 1024;
+
+// The buffer holds what the parser needs at once: a header, or the line before a chunk with its
+// extensions, or all trailers. Beast limits only the first of them.
+constexpr std::size_t buffer_reserve_bytes = std::size_t{16} * 1024;
+
+// A response up to this size is read although others take all memory.
+constexpr std::size_t uncounted_response_bytes = std::size_t{64} * 1024;
 
 http::request<http::string_body> make_request(pending_call& pending)
 {
@@ -69,7 +77,8 @@
 
 connection::connection(asio::io_context& io, connection_owner& owner,
                        const http_client_limits& limits)
-    : m_owner{owner}, m_limits{limits}, m_socket{io}, m_timer{io}
+    : m_owner{owner}, m_limits{limits}, m_socket{io}, m_timer{io},
+      m_buffer{limits.max_response_header_bytes + buffer_reserve_bytes}
 {
 }
 
@@ -149,9 +158,31 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_response_header_bytes));
     m_parser->body_limit(m_limits.max_response_body_bytes);
-    http::async_read(
-        m_socket, m_buffer, *m_parser,
-        [self = shared_from_this()](error_code ec, std::size_t) { self->on_read(ec); });
+    m_parser->eager(true);
+    read_more();
+}
+
+// Reads in parts, so that the memory of the response is counted while it arrives.
+void connection::read_more()
+{
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this()](error_code ec, std::size_t) {
+                              if (ec || self->m_phase != phase::busy || self->m_parser->is_done()) {
+                                  self->on_read(ec);
+                                  return;
+                              }
+                              if (!self->charge(self->m_parser->get().body().size())) {
+                                  self->on_read(http::error::body_limit);
+                                  return;
+                              }
+                              self->read_more();
+                          });
+}
+
+bool connection::charge(std::size_t bytes)
+{
+    const auto counted = bytes - std::min(bytes, uncounted_response_bytes);
+    return m_owner.change_response_memory(std::exchange(m_charged, counted), counted);
 }
 
 void connection::on_read(error_code ec)
@@ -266,6 +297,7 @@
 
 call_ptr connection::take_call()
 {
+    charge(0);
     m_write_started = false;
     if (m_call) {
         m_call->active_connection = nullptr;
@@ -279,7 +311,7 @@
     m_request.reset();
     m_parser.reset();
     if (m_buffer.capacity() > max_retained_buffer_bytes) {
-        m_buffer = {};
+        m_buffer.shrink_to_fit();
     }
     m_timer.expires_after(m_limits.idle_timeout);
     m_timer.async_wait([self = shared_from_this(), sequence = ++m_idle_sequence](error_code ec) {
--- a/src/targets/connection.h
+++ b/src/targets/connection.h
@@ -26,6 +26,9 @@
     virtual void on_call_done(const call_ptr& call, http_result result) = 0;
     virtual void on_idle(const std::shared_ptr<connection>& which) = 0;
     virtual void on_closed(const std::shared_ptr<connection>& which) = 0;
+    /// Changes the memory of all responses that are being read. Returns whether it is within the
+    /// limit.
+    virtual bool change_response_memory(std::size_t before, std::size_t now) = 0;
 };
 
 /// A connection to an endpoint that carries one call at a time. Used on the client's thread.
@@ -61,6 +64,9 @@
     void on_connected(boost::system::error_code ec);
     void send();
     void read();
+    void read_more();
+    /// Counts the memory of the response. Returns false if there is no room for it.
+    bool charge(std::size_t bytes);
     void on_read(boost::system::error_code ec);
     void try_complete();
     void succeed();
@@ -84,6 +90,7 @@
     call_ptr m_call;
     std::array<char, 1024> m_discard{};
     std::size_t m_written = 0;
+    std::size_t m_charged = 0; ///< memory of the response, as its owner counts it
     boost::system::error_code m_read_error;
     std::uint64_t m_idle_sequence = 0;
     phase m_phase = phase::connecting;
--- a/src/targets/endpoint_pool.h
+++ b/src/targets/endpoint_pool.h
@@ -19,6 +19,7 @@
     virtual void on_pool_call_done(const call_ptr& call, http_result result) = 0;
     virtual void on_connections_changed(const endpoint& where, std::size_t open, bool opened) = 0;
     virtual void on_connection_reused() = 0;
+    virtual bool change_response_memory(std::size_t before, std::size_t now) = 0;
 };
 
 /// The connections to one endpoint and the calls that wait for a connection. Used on the client's
@@ -42,6 +43,10 @@
     void on_call_done(const call_ptr& call, http_result result) override;
     void on_idle(const std::shared_ptr<connection>& which) override;
     void on_closed(const std::shared_ptr<connection>& which) override;
+    bool change_response_memory(std::size_t before, std::size_t now) override
+    {
+        return m_owner.change_response_memory(before, now);
+    }
 
 private:
     void process_queue();
--- a/src/targets/http_client.cpp
+++ b/src/targets/http_client.cpp
@@ -77,6 +77,12 @@
     void on_pool_call_done(const call_ptr& call, http_result result) override;
     void on_connections_changed(const endpoint& where, std::size_t open, bool opened) override;
     void on_connection_reused() override { ++m_reused; }
+    bool change_response_memory(std::size_t before, std::size_t now) override
+    {
+        m_response_memory += now;
+        m_response_memory -= before;
+        return m_response_memory <= m_limits.max_response_memory_bytes;
+    }
 
 private:
     void begin(const call_ptr& call);
@@ -88,6 +94,7 @@
     asio::io_context m_io{1};
     asio::executor_work_guard<asio::io_context::executor_type> m_work{m_io.get_executor()};
     std::map<endpoint, std::unique_ptr<endpoint_pool>> m_pools;
+    std::size_t m_response_memory = 0; ///< Used on the client's thread.
     std::thread m_thread;
 
     mutable std::mutex m_mutex;
--- a/tests/targets/http_client_failures_test.cpp
+++ b/tests/targets/http_client_failures_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(call_silent_server_is_timed_out);
     CPPUNIT_TEST(call_slow_answer_is_timed_out);
     CPPUNIT_TEST(call_too_large_answer_is_reported);
+    CPPUNIT_TEST(call_endless_trailers_or_extension_is_reported);
+    CPPUNIT_TEST(call_response_memory_used_up_only_small_answer_is_read);
     CPPUNIT_TEST(call_early_refusal_before_body_is_answered);
     CPPUNIT_TEST(call_interim_answer_is_skipped);
     CPPUNIT_TEST(call_invalid_parts_are_not_sent);
@@ -143,6 +145,29 @@
                        one_call("HTTP/1.1 200 OK\r\nX: " + std::string(20'000, 'x')));
     }
 
+    // Guards against a process that runs out of memory, because the parser buffers them whole.
+    void call_endless_trailers_or_extension_is_reported()
+    {
+        const std::string head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string filler(100'000, 'x');
+        for (const auto& rest : {"1\r\nx\r\n0\r\nname: " + filler, "1;name=" + filler}) {
+            assert_outcome(http_outcome::answer_too_large, one_call(head + rest));
+        }
+    }
+
+    // Guards against targets whose answers, each within the limits, together take all memory.
+    void call_response_memory_used_up_only_small_answer_is_read()
+    {
+        m_limits.max_response_memory_bytes = 1'000;
+        const auto answer_of = [this](std::size_t size) {
+            return one_call("HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(size) +
+                            "\r\n\r\n" + std::string(size, 'x'));
+        };
+        assert_outcome(http_outcome::answered, answer_of(50'000));
+        assert_outcome(http_outcome::answer_too_large, answer_of(200'000));
+        assert_outcome(http_outcome::answered, answer_of(50'000));
+    }
+
     // Guards against losing an early refusal because the write of the body failed.
     void call_early_refusal_before_body_is_answered()
     {
