Limit the read buffer of a caller's connection

What was seen: clients that send trailers without end behind a chunked body ended a process, which ran out of memory.

Cause: Beast limits the header and the body of a request, but keeps the line before a chunk and all trailers in the read buffer until they are complete, and the buffer had no limit.

Change: the buffer holds a header and 16 KiB more. A request whose trailers or extensions don't fit gets status 431, and the connection is closed. It has not run: a request reaches the handler only when it is complete.

--- a/src/callers/http_convert.cpp
+++ b/src/callers/http_convert.cpp
@@ -64,7 +64,11 @@
 std::optional<http_response> describe_read_error(const boost::beast::error_code& ec,
                                                  const http_server_limits& limits)
 {
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    if (ec == http::error::buffer_overflow) {
+        return refuse(431, error_code::message_too_large,
+                      "the trailers or a chunk's extensions are too large");
+    }
+    if (ec == http::error::header_limit) {
         return refuse(431, error_code::message_too_large,
                       "the headers have more than " + std::to_string(limits.max_header_bytes) +
                           " bytes");
--- a/src/callers/session.cpp
+++ b/src/callers/session.cpp
@@ -29,10 +29,15 @@
 // A larger buffer, grown by a large body, is freed between requests.
 constexpr std::size_t max_retained_buffer_bytes = std::size_t{64} * 1024;
 
+// The buffer holds what the parser needs at once: a header, or the line before a chunk with its
+// extensions, or all trailers. Beast limits only the first of them.
+constexpr std::size_t buffer_reserve_bytes = std::size_t{16} * 1024;
+
 } // namespace
 
 session::session(std::shared_ptr<server_core> core, asio::ip::tcp::socket socket)
-    : m_core{std::move(core)}, m_socket{std::move(socket)}, m_timer{m_core->io()}
+    : m_core{std::move(core)}, m_socket{std::move(socket)}, m_timer{m_core->io()},
+      m_buffer{m_core->limits().max_header_bytes + buffer_reserve_bytes}
 {
     beast::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay{true}, ec);
@@ -206,7 +211,7 @@
     auto message = m_parser->release();
     m_parser.reset();
     if (m_buffer.size() == 0 && m_buffer.capacity() > max_retained_buffer_bytes) {
-        m_buffer = {};
+        m_buffer.shrink_to_fit();
     }
     http_request request = convert_request(std::move(message));
     request.remote_address = m_remote_address;
--- a/tests/callers/http_server_test.cpp
+++ b/tests/callers/http_server_test.cpp
@@ -67,6 +67,7 @@
     CPPUNIT_TEST(server_malformed_requests_get_400);
     CPPUNIT_TEST(server_oversized_header_gets_431);
     CPPUNIT_TEST(server_oversized_body_gets_413);
+    CPPUNIT_TEST(server_oversized_trailers_and_extensions_get_431);
     CPPUNIT_TEST(server_slow_sender_gets_408_and_is_closed);
     CPPUNIT_TEST(server_silent_connection_is_closed);
     CPPUNIT_TEST(server_expect_continue_gets_interim_answer);
@@ -192,6 +193,20 @@
 
     // Guards against slow senders that occupy a connection by sending single bytes: the time limit
     // counts from the first byte of the request.
+    // Guards against a process that runs out of memory, because the parser buffers them whole.
+    void server_oversized_trailers_and_extensions_get_431()
+    {
+        start_echo();
+        const std::string head = "POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
+        const std::string filler(100'000, 'x');
+        for (const auto& rest : {"1\r\nx\r\n0\r\nname: " + filler, "1;name=" + filler}) {
+            raw_client client{m_server->port()};
+            client.send(head + rest);
+            assert_error(431, "message_too_large", client.read_answer());
+            CPPUNIT_ASSERT(client.closed_by_server());
+        }
+    }
+
     void server_slow_sender_gets_408_and_is_closed()
     {
         m_limits.request_timeout = 300ms;
