Limit the memory of all requests of a server together

What was seen: 1,000 connections with unfinished bodies of 256 KB, each within the limits, raised an entry process to 286 MB (bound 168 MB), 400 complete ones that waited for a stopped core process to 195 MB, and 100 unfinished ones of 4 MB a core process to 434 MB (bound 273 MB).

Cause: each request was limited, their sum wasn't. An entry process also kept two copies of each waiting request.

Change: a server counts the memory of its requests while they arrive and until the response is written, 32 MiB by default (setting max_request_memory_mb). Beyond it, the requests that have been incomplete for the longest time get 503 with Retry-After, so that ordinary requests, which arrive at once, are served; if all others are complete, the new one does. Neither has reached the handler, so "not run" is true. The log keeps method and path of a waiting request instead of a copy. The readiness port and the metrics have limits of their own.

--- a/include/lovagebeam/callers/http_server.h
+++ b/include/lovagebeam/callers/http_server.h
@@ -87,6 +87,10 @@
     std::chrono::milliseconds idle_timeout{60'000};
     std::size_t max_connections = 10'000;
     std::size_t max_requests_in_progress = 4'096;
+    /// Memory of all requests together, from their first byte until the response is written. Beyond
+    /// it, the requests that have been incomplete for the longest time get status 503, or the new
+    /// one if all others are complete.
+    std::size_t max_request_memory_bytes = std::size_t{32} * 1024 * 1024;
     /// Idle connections are closed this long after a drain has started, so that requests that are
     /// already on their way are still served.
     std::chrono::milliseconds drain_idle_timeout{200};
@@ -98,7 +102,9 @@
     std::uint64_t connections_open = 0;
     std::uint64_t requests = 0; ///< Passed to the handler.
     std::uint64_t requests_in_progress = 0;
-    std::uint64_t requests_refused = 0;  ///< Exceeded `max_requests_in_progress`.
+    /// Exceeded `max_requests_in_progress` or `max_request_memory_bytes`.
+    std::uint64_t requests_refused = 0;
+    std::uint64_t request_memory_bytes = 0;
     std::uint64_t requests_rejected = 0; ///< Malformed, too large or too slow.
     std::uint64_t responses = 0;         ///< Completely written responses to requests.
 };
--- a/include/lovagebeam/settings/process_settings.h
+++ b/include/lovagebeam/settings/process_settings.h
@@ -38,6 +38,9 @@
     std::chrono::milliseconds max_lease{6'000};
     std::chrono::milliseconds grace{6'000};
     std::chrono::milliseconds heartbeat{1'500};
+    /// Memory of the requests of callers to an entry process, or of workers and operators to a core
+    /// process. An entry process holds a second copy of each that it forwards.
+    std::size_t max_request_memory_bytes = std::size_t{32} << 20U;
     std::string log_level = "info";
 };
 
--- a/programs/lovagebeam/core_process.cpp
+++ b/programs/lovagebeam/core_process.cpp
@@ -43,7 +43,7 @@
     absl::Status status = host.status();
     std::unique_ptr<callers::http_server> control;
     if (status.ok() && context.settings.control) {
-        auto server = platform::make_control_server(*context.settings.control, **host);
+        auto server = platform::make_control_server(context.settings, **host);
         status = server.status();
         if (status.ok()) {
             control = *std::move(server);
--- a/src/callers/http_server.cpp
+++ b/src/callers/http_server.cpp
@@ -54,6 +54,7 @@
             .requests = live.requests,
             .requests_in_progress = live.requests_in_progress,
             .requests_refused = live.requests_refused,
+            .request_memory_bytes = live.request_memory_bytes,
             .requests_rejected = live.requests_rejected,
             .responses = live.responses};
 }
@@ -91,8 +92,8 @@
     }
     if (m_limits.max_header_bytes == 0 || m_limits.max_body_bytes == 0 ||
         m_limits.max_connections == 0 || m_limits.max_requests_in_progress == 0 ||
-        m_limits.request_timeout.count() <= 0 || m_limits.idle_timeout.count() <= 0 ||
-        m_limits.drain_idle_timeout.count() < 0) {
+        m_limits.max_request_memory_bytes == 0 || m_limits.request_timeout.count() <= 0 ||
+        m_limits.idle_timeout.count() <= 0 || m_limits.drain_idle_timeout.count() < 0) {
         return base::make_error(error_code::invalid_settings,
                                 "the server's limits must be positive");
     }
--- a/src/callers/server_core.cpp
+++ b/src/callers/server_core.cpp
@@ -116,6 +116,33 @@
     added->start();
 }
 
+std::shared_ptr<session> server_core::oldest_incomplete(const session& except) const
+{
+    std::shared_ptr<session> oldest;
+    for (const auto& each : m_sessions) {
+        const bool is_candidate =
+            each.get() != &except && each->is_incomplete() && each->charged_bytes() > 0;
+        if (is_candidate && (!oldest || each->waiting_since() < oldest->waiting_since())) {
+            oldest = each;
+        }
+    }
+    return oldest;
+}
+
+bool server_core::charge(const session& owner, std::size_t before, std::size_t now)
+{
+    m_counters.request_memory_bytes += now;
+    m_counters.request_memory_bytes -= before;
+    while (m_counters.request_memory_bytes > m_limits.max_request_memory_bytes) {
+        const auto oldest = oldest_incomplete(owner);
+        if (!oldest) {
+            return false;
+        }
+        oldest->refuse_incomplete();
+    }
+    return true;
+}
+
 void server_core::remove(const std::shared_ptr<session>& closed)
 {
     m_sessions.erase(closed);
--- a/src/callers/server_core.h
+++ b/src/callers/server_core.h
@@ -24,6 +24,7 @@
     std::atomic<std::uint64_t> requests{0};
     std::atomic<std::uint64_t> requests_in_progress{0};
     std::atomic<std::uint64_t> requests_refused{0};
+    std::atomic<std::uint64_t> request_memory_bytes{0};
     std::atomic<std::uint64_t> requests_rejected{0};
     std::atomic<std::uint64_t> responses{0};
 };
@@ -57,10 +58,16 @@
     /// Called by a session once its socket is closed.
     void remove(const std::shared_ptr<session>& closed);
 
+    /// Changes the memory of the requests by that of one request. Returns false if they exceed the
+    /// limit although all incomplete requests but those of `owner` have been refused.
+    bool charge(const session& owner, std::size_t before, std::size_t now);
+    void release(std::size_t bytes) { m_counters.request_memory_bytes -= bytes; }
+
 private:
     void accept_next();
     void add_connection(boost::asio::ip::tcp::socket socket);
     void accept_backlog();
+    [[nodiscard]] std::shared_ptr<session> oldest_incomplete(const session& except) const;
     void begin_drain(std::chrono::milliseconds limit);
     void finish_drain(bool complete);
     void close_all();
--- a/src/callers/session.cpp
+++ b/src/callers/session.cpp
@@ -26,18 +26,29 @@
 
 constexpr std::size_t first_read_bytes = 4096;
 
-// A larger buffer, grown by a large body, is freed between requests.
-constexpr std::size_t max_retained_buffer_bytes = std::size_t{64} * 1024;
+// A larger buffer, grown by a large request, is freed between requests.
+constexpr std::size_t max_retained_buffer_bytes = 2 * first_read_bytes;
 
 // The buffer holds what the parser needs at once: a header, or the line before a chunk with its
 // extensions, or all trailers. Beast limits only the first of them.
 constexpr std::size_t buffer_reserve_bytes = std::size_t{16} * 1024;
 
+constexpr std::string_view refusal_retry_seconds = "1";
+
+http_response no_memory_response()
+{
+    auto response = error_response(503, base::error_code::queue_full,
+                                   "the server has no memory for the request");
+    response.headers.push_back({"Retry-After", std::string{refusal_retry_seconds}});
+    return response;
+}
+
 } // namespace
 
 session::session(std::shared_ptr<server_core> core, asio::ip::tcp::socket socket)
     : m_core{std::move(core)}, m_socket{std::move(socket)}, m_timer{m_core->io()},
-      m_buffer{m_core->limits().max_header_bytes + buffer_reserve_bytes}
+      m_buffer{m_core->limits().max_header_bytes + buffer_reserve_bytes},
+      m_waiting_since{std::chrono::steady_clock::now()}
 {
     beast::error_code ec;
     m_socket.set_option(asio::ip::tcp::no_delay{true}, ec);
@@ -92,6 +103,7 @@
 void session::await_request()
 {
     m_phase = phase::idle;
+    m_waiting_since = std::chrono::steady_clock::now();
     if (m_buffer.size() > 0) {
         read_header();
         return;
@@ -115,15 +127,35 @@
 void session::read_header()
 {
     m_phase = phase::reading;
+    m_waiting_since = std::chrono::steady_clock::now();
+    m_refused = false;
     m_keep_alive = true;
     m_head_request = false;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_core->limits().max_header_bytes));
     m_parser->body_limit(m_core->limits().max_body_bytes);
     start_timer(m_core->limits().request_timeout);
-    http::async_read_header(
-        m_socket, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->on_header(ec); });
+    read_more_header();
+}
+
+// Header and body are read in parts, so that the memory of the request is counted while it arrives.
+void session::read_more_header()
+{
+    if (!charge(m_buffer.capacity())) {
+        return;
+    }
+    if (m_parser->is_header_done()) {
+        on_header({});
+        return;
+    }
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                              if (ec || self->m_phase == phase::closed) {
+                                  self->on_header(ec);
+                                  return;
+                              }
+                              self->read_more_header();
+                          });
 }
 
 void session::on_header(beast::error_code ec)
@@ -168,9 +200,52 @@
 
 void session::read_body()
 {
-    http::async_read(
-        m_socket, m_buffer, *m_parser,
-        [self = shared_from_this()](beast::error_code ec, std::size_t) { self->on_body(ec); });
+    m_parser->eager(true);
+    read_more_body();
+}
+
+void session::read_more_body()
+{
+    if (!charge(m_buffer.capacity() + m_parser->get().body().size())) {
+        return;
+    }
+    if (m_parser->is_done()) {
+        on_body({});
+        return;
+    }
+    http::async_read_some(m_socket, m_buffer, *m_parser,
+                          [self = shared_from_this()](beast::error_code ec, std::size_t) {
+                              if (ec || self->m_phase == phase::closed) {
+                                  self->on_body(ec);
+                                  return;
+                              }
+                              self->read_more_body();
+                          });
+}
+
+bool session::charge(std::size_t bytes)
+{
+    const auto before = std::exchange(m_charged, bytes);
+    if (m_core->charge(*this, before, bytes) && !m_refused) {
+        return true;
+    }
+    m_core->counters().requests_refused += m_refused ? 0 : 1;
+    reject(no_memory_response());
+    return false;
+}
+
+void session::release_memory()
+{
+    m_core->release(std::exchange(m_charged, 0));
+}
+
+void session::refuse_incomplete()
+{
+    m_refused = true;
+    release_memory();
+    ++m_core->counters().requests_refused;
+    beast::error_code ignored;
+    m_socket.cancel(ignored);
 }
 
 void session::on_body(beast::error_code ec)
@@ -210,7 +285,7 @@
 {
     auto message = m_parser->release();
     m_parser.reset();
-    if (m_buffer.size() == 0 && m_buffer.capacity() > max_retained_buffer_bytes) {
+    if (m_buffer.capacity() > max_retained_buffer_bytes) {
         m_buffer.shrink_to_fit();
     }
     http_request request = convert_request(std::move(message));
@@ -221,6 +296,10 @@
 
 void session::reject(beast::error_code ec)
 {
+    if (m_refused && ec == asio::error::operation_aborted) {
+        reject(no_memory_response());
+        return;
+    }
     if (m_timed_out && ec == asio::error::operation_aborted) {
         ec = beast::error::timeout;
     }
@@ -236,6 +315,10 @@
 void session::reject(http_response response)
 {
     ++m_core->counters().requests_rejected;
+    m_parser.reset();
+    m_buffer.clear();
+    m_buffer.shrink_to_fit();
+    release_memory();
     write(std::move(response), false);
 }
 
@@ -274,6 +357,7 @@
 
 void session::on_written(bool keep_open)
 {
+    release_memory();
     if (std::exchange(m_counted_in_progress, false)) {
         --m_core->counters().requests_in_progress;
     }
@@ -328,6 +412,7 @@
 void session::close_now()
 {
     m_phase = phase::closed;
+    release_memory();
     if (std::exchange(m_counted_in_progress, false)) {
         --m_core->counters().requests_in_progress;
     }
--- a/src/callers/session.h
+++ b/src/callers/session.h
@@ -35,6 +35,17 @@
 
     void close_if_idle();
     void close_now();
+    /// Whether the session waits for a request or for the rest of one.
+    [[nodiscard]] bool is_incomplete() const
+    {
+        return m_phase == phase::idle || m_phase == phase::reading;
+    }
+    /// Since when it is incomplete.
+    [[nodiscard]] base::time_point waiting_since() const { return m_waiting_since; }
+    /// The memory of its request, as the core counts it.
+    [[nodiscard]] std::size_t charged_bytes() const { return m_charged; }
+    /// Refuses the request that is being read, to make room for others.
+    void refuse_incomplete();
 
     /// Returns whether a request has started to arrive and its response isn't completely written.
     [[nodiscard]] bool has_request() const;
@@ -54,6 +65,11 @@
     void on_header(boost::beast::error_code ec);
     void send_continue();
     void read_body();
+    void read_more_header();
+    void read_more_body();
+    /// Counts the memory of the request. Refuses it and returns false if there is no room.
+    bool charge(std::size_t bytes);
+    void release_memory();
     void on_body(boost::beast::error_code ec);
     void dispatch();
     [[nodiscard]] http_request take_request();
@@ -78,6 +94,9 @@
     bool m_head_request = false;
     std::uint64_t m_timer_sequence = 0;
     bool m_timed_out = false;
+    bool m_refused = false; ///< Another request needs the memory of this incomplete one.
+    base::time_point m_waiting_since;
+    std::size_t m_charged = 0;
     bool m_counted_in_progress = false; ///< Included in `requests_in_progress`.
 };
 
--- a/src/controlplane/entry_host.cpp
+++ b/src/controlplane/entry_host.cpp
@@ -39,6 +39,8 @@
 /// Part of the grace period that remains when the connections are closed.
 constexpr std::chrono::milliseconds stop_margin{700};
 constexpr std::size_t max_caller_body_bytes = std::size_t{256} << 10U;
+constexpr std::size_t max_probe_body_bytes = std::size_t{4} << 10U;
+constexpr std::size_t max_probe_memory_bytes = std::size_t{4} << 20U;
 
 std::chrono::milliseconds timeout_of(const callers::http_request& request,
                                      const std::string& header)
@@ -54,12 +56,27 @@
     return std::chrono::milliseconds{value};
 }
 
+// The load balancer's probes have no body.
+callers::http_server_limits probe_limits()
+{
+    callers::http_server_limits limits;
+    limits.max_body_bytes = max_probe_body_bytes;
+    limits.max_request_memory_bytes = max_probe_memory_bytes;
+    return limits;
+}
+
 std::string host_of(const callers::http_request& request)
 {
     const auto header = request.header("Host").value_or("");
     return std::string{header.substr(0, header.find(':'))};
 }
 
+/// What the log says of a request.
+struct request_line {
+    std::string method;
+    std::string path;
+};
+
 class entry_host_implementation final : public entry_host {
 public:
     explicit entry_host_implementation(dependencies deps)
@@ -75,14 +92,14 @@
     void stop() override;
 
 private:
-    absl::Status listen(const settings::endpoint& at, std::size_t body_bytes,
+    absl::Status listen(const settings::endpoint& at, const callers::http_server_limits& limits,
                         callers::request_handler handler,
                         std::unique_ptr<callers::http_server>& server);
     void on_caller(callers::http_request request, const callers::reply& reply);
     void on_readiness(const callers::http_request& request, const callers::reply& reply);
     void on_internal(const callers::http_request& request, const callers::reply& reply);
     static void answer(const leader_link::outcome& outcome, const callers::reply& reply);
-    void log_answer(const leader_link::outcome& outcome, const pb::CallerCall& call,
+    void log_answer(const leader_link::outcome& outcome, const request_line& line,
                     base::duration took) const;
     void stop_threads();
 
@@ -100,12 +117,11 @@
     std::atomic<bool> m_is_stopping = false;
 };
 
-absl::Status entry_host_implementation::listen(const settings::endpoint& at, std::size_t body_bytes,
+absl::Status entry_host_implementation::listen(const settings::endpoint& at,
+                                               const callers::http_server_limits& limits,
                                                callers::request_handler handler,
                                                std::unique_ptr<callers::http_server>& server)
 {
-    callers::http_server_limits limits;
-    limits.max_body_bytes = body_bytes;
     auto built = callers::http_server_builder{}
                      .listen(at.address, at.port)
                      .limits(limits)
@@ -132,16 +148,19 @@
                     },
                     [](base::time_point) {}});
     }};
+    callers::http_server_limits limits;
+    limits.max_body_bytes = max_caller_body_bytes;
     const settings::endpoint internal{m_settings.address, entry_port(m_settings)};
     auto status = listen(
-        internal, max_caller_body_bytes,
+        internal, limits,
         [this](const callers::http_request& request, const callers::reply& reply) {
             on_internal(request, reply);
         },
         m_internal);
+    limits.max_request_memory_bytes = m_settings.max_request_memory_bytes;
     if (status.ok()) {
         status = listen(
-            *m_settings.callers, max_caller_body_bytes,
+            *m_settings.callers, limits,
             [this](callers::http_request request, const callers::reply& reply) {
                 on_caller(std::move(request), reply);
             },
@@ -149,7 +168,7 @@
     }
     if (status.ok()) {
         status = listen(
-            *m_settings.readiness, max_caller_body_bytes,
+            *m_settings.readiness, probe_limits(),
             [this](const callers::http_request& request, const callers::reply& reply) {
                 on_readiness(request, reply);
             },
@@ -251,16 +270,17 @@
     }
     const auto timeout = timeout_of(request, m_headers.deadline);
     call->set_body(std::move(request.body));
-    const auto forward = [this, call, reply, timeout](base::time_point now) {
-        m_link.forward(now, *call, now + timeout,
-                       [this, reply, call, now](const leader_link::outcome& outcome) {
-                           log_answer(outcome, *call, base::boot_time() - now);
+    const request_line line{request.method, std::string{request.path()}};
+    const auto forward = [this, call, line, reply, timeout](base::time_point now) {
+        m_link.forward(now, std::move(*call), now + timeout,
+                       [this, reply, line, now](const leader_link::outcome& outcome) {
+                           log_answer(outcome, line, base::boot_time() - now);
                            answer(outcome, reply);
                        });
     };
     if (!m_loop.try_post(forward)) {
         log_event{severity::warning, "request_refused"}
-            .with("path", call->path())
+            .with("path", line.path)
             .with("why", "too many requests wait")
             .write();
         callers::http_response response;
@@ -272,14 +292,14 @@
 
 // With the duration of the request, log lines of hosts whose clocks differ can be put in order.
 void entry_host_implementation::log_answer(const leader_link::outcome& outcome,
-                                           const pb::CallerCall& call, base::duration took) const
+                                           const request_line& request, base::duration took) const
 {
     using kind = leader_link::outcome::kind;
     const bool is_answered = outcome.how == kind::answered;
     log_event line{is_answered ? severity::info : severity::warning,
                    is_answered ? "request_answered" : "request_not_passed"};
-    line.with("method", call.method())
-        .with("path", call.path())
+    line.with("method", request.method)
+        .with("path", request.path)
         .with("status", outcome.answer.status())
         .with("leader", m_link.leader())
         .with("took_us", std::chrono::duration_cast<std::chrono::microseconds>(took).count())
--- a/src/controlplane/metrics_endpoint.cpp
+++ b/src/controlplane/metrics_endpoint.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 constexpr std::size_t max_connections = 16;
+constexpr std::size_t max_body_bytes = std::size_t{4} << 10U;
 
 void update_process_metrics(telemetry::metrics_registry& metrics)
 {
@@ -26,6 +27,7 @@
 {
     callers::http_server_limits limits;
     limits.max_connections = max_connections;
+    limits.max_body_bytes = max_body_bytes;
     return callers::http_server_builder{}
         .listen(listen.address, listen.port)
         .limits(limits)
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -74,6 +74,14 @@
     out = std::chrono::milliseconds{value};
 }
 
+void read_limits(json_reader& reader, process_settings& out)
+{
+    constexpr std::int64_t max_memory_mb = 16'384;
+    auto memory_mb = static_cast<std::int64_t>(out.max_request_memory_bytes >> 20U);
+    reader.read("max_request_memory_mb", memory_mb, 1, max_memory_mb, presence::optional);
+    out.max_request_memory_bytes = static_cast<std::size_t>(memory_mb) << 20U;
+}
+
 void read_internal_ports(json_reader& reader, process_settings& out)
 {
     std::int64_t first = 0;
@@ -122,6 +130,7 @@
     read_duration(reader, "grace_ms", 1'000, out.grace);
     read_duration(reader, "heartbeat_ms", 50, out.heartbeat);
     read_control_mode(reader);
+    read_limits(reader, out);
     reader.read("log_level", out.log_level, presence::optional);
     reader.finish();
     out.node = base::node_id{node};
--- a/tests/callers/http_server_test.cpp
+++ b/tests/callers/http_server_test.cpp
@@ -7,6 +7,7 @@
 
 #include <atomic>
 #include <future>
+#include <list>
 #include <mutex>
 #include <string>
 #include <thread>
@@ -68,6 +69,8 @@
     CPPUNIT_TEST(server_oversized_header_gets_431);
     CPPUNIT_TEST(server_oversized_body_gets_413);
     CPPUNIT_TEST(server_oversized_trailers_and_extensions_get_431);
+    CPPUNIT_TEST(server_too_much_request_memory_oldest_incomplete_gets_503);
+    CPPUNIT_TEST(server_memory_taken_by_complete_requests_next_gets_503);
     CPPUNIT_TEST(server_slow_sender_gets_408_and_is_closed);
     CPPUNIT_TEST(server_silent_connection_is_closed);
     CPPUNIT_TEST(server_expect_continue_gets_interim_answer);
@@ -205,6 +208,42 @@
             assert_error(431, "message_too_large", client.read_answer());
             CPPUNIT_ASSERT(client.closed_by_server());
         }
+        CPPUNIT_ASSERT(
+            wait_until([this] { return m_server->counters().request_memory_bytes == 0; }));
+    }
+
+    // Guards against many unfinished requests, each within the limits, that take all memory or
+    // keep ordinary requests out.
+    void server_too_much_request_memory_oldest_incomplete_gets_503()
+    {
+        m_limits.max_request_memory_bytes = 200'000;
+        start_echo();
+        std::list<raw_client> senders;
+        for (int i = 0; i < 3; ++i) {
+            senders.emplace_back(m_server->port());
+            senders.back().send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 90001\r\n\r\n" +
+                                std::string(90'000, 'x'));
+            std::this_thread::sleep_for(20ms);
+        }
+        const auto refusal = senders.front().read_answer();
+        assert_error(503, "queue_full", refusal);
+        CPPUNIT_ASSERT(refusal.find("Retry-After: 1\r\n") != std::string::npos);
+        senders.back().send("x");
+        assert_status(200, senders.back().read_answer());
+    }
+
+    void server_memory_taken_by_complete_requests_next_gets_503()
+    {
+        m_limits.max_request_memory_bytes = 100'000;
+        start_holding();
+        raw_client first{m_server->port()};
+        first.send(post("/first", std::string(60'000, 'x')));
+        CPPUNIT_ASSERT(wait_until([this] { return held() == 1; }));
+        raw_client second{m_server->port()};
+        second.send(post("/second", std::string(60'000, 'x')));
+        assert_error(503, "queue_full", second.read_answer());
+        release_all();
+        assert_status(200, first.read_answer());
     }
 
     void server_slow_sender_gets_408_and_is_closed()
