Bound the connections of callers, workers and operators

What was seen: 5,000 connections to the callers' port used 5,019 descriptors of an entry process; a host has 4,100. Beyond them a process can't accept, connect or open a file.

Cause: max_connections was 10,000 on every port.

Change: 2,500 on the callers' and the control port (setting max_connections), 256 on the readiness port. When all are in use, those that have waited for a complete request for over two seconds are closed, so that silent connections don't keep ordinary callers out; a new connection gets 503 if there are none.

--- a/include/lovagebeam/callers/http_server.h
+++ b/include/lovagebeam/callers/http_server.h
@@ -85,6 +85,8 @@
     std::chrono::milliseconds request_timeout{10'000};
     /// A connection without a request is closed after this time.
     std::chrono::milliseconds idle_timeout{60'000};
+    /// When as many are open, those that have waited for a complete request for over two seconds
+    /// are closed. A further connection gets status 503.
     std::size_t max_connections = 10'000;
     std::size_t max_requests_in_progress = 4'096;
     /// Memory of all requests together, from their first byte until the response is written. Beyond
--- a/include/lovagebeam/settings/process_settings.h
+++ b/include/lovagebeam/settings/process_settings.h
@@ -38,8 +38,11 @@
     std::chrono::milliseconds max_lease{6'000};
     std::chrono::milliseconds grace{6'000};
     std::chrono::milliseconds heartbeat{1'500};
-    /// Memory of the requests of callers to an entry process, or of workers and operators to a core
-    /// process. An entry process holds a second copy of each that it forwards.
+    /// Connections of callers to an entry process, or of workers and operators to a core process.
+    /// With the other connections of the process it has to fit into the descriptors of the host.
+    std::size_t max_connections = 2'500;
+    /// Memory of the requests on these connections. An entry process holds a second copy of each
+    /// that it forwards.
     std::size_t max_request_memory_bytes = std::size_t{32} << 20U;
     std::string log_level = "info";
 };
--- a/src/callers/server_core.cpp
+++ b/src/callers/server_core.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/asio/post.hpp>
 
+#include <algorithm>
+#include <iterator>
 #include <string>
 #include <utility>
 #include <vector>
@@ -22,6 +24,11 @@
 // Delay after a failed accept. Without it, retries would spin while file descriptors are exhausted.
 constexpr std::chrono::milliseconds accept_retry_delay{20};
 
+// When all connections are in use, one without a complete request for this long is closed. Longer
+// than an ordinary request takes to arrive.
+constexpr std::chrono::seconds stale_timeout{2};
+constexpr std::chrono::milliseconds stale_check_interval{100};
+
 } // namespace
 
 server_core::server_core(tcp::endpoint where, request_handler handler,
@@ -99,6 +106,9 @@
 
 void server_core::add_connection(tcp::socket socket)
 {
+    if (m_sessions.size() >= m_limits.max_connections) {
+        close_stale();
+    }
     const bool full = m_sessions.size() >= m_limits.max_connections;
     if (m_sessions.size() >= m_limits.max_connections + max_concurrent_refusals) {
         ++m_counters.connections_refused;
@@ -116,6 +126,22 @@
     added->start();
 }
 
+void server_core::close_stale()
+{
+    const auto now = std::chrono::steady_clock::now();
+    if (now - m_last_stale_check < stale_check_interval) {
+        return;
+    }
+    m_last_stale_check = now;
+    std::vector<std::shared_ptr<session>> stale;
+    std::ranges::copy_if(m_sessions, std::back_inserter(stale), [now](const auto& each) {
+        return each->is_incomplete() && now - each->waiting_since() >= stale_timeout;
+    });
+    for (const auto& each : stale) {
+        each->close();
+    }
+}
+
 std::shared_ptr<session> server_core::oldest_incomplete(const session& except) const
 {
     std::shared_ptr<session> oldest;
--- a/src/callers/server_core.h
+++ b/src/callers/server_core.h
@@ -67,6 +67,8 @@
     void accept_next();
     void add_connection(boost::asio::ip::tcp::socket socket);
     void accept_backlog();
+    /// Closes the connections that have waited for a complete request for too long.
+    void close_stale();
     [[nodiscard]] std::shared_ptr<session> oldest_incomplete(const session& except) const;
     void begin_drain(std::chrono::milliseconds limit);
     void finish_drain(bool complete);
@@ -85,6 +87,7 @@
     boost::asio::steady_timer m_idle_timer{m_io};
     boost::asio::steady_timer m_drain_timer{m_io};
     std::unordered_set<std::shared_ptr<session>> m_sessions;
+    base::time_point m_last_stale_check;
     std::function<void(drain_result)> m_on_drained;
     bool m_draining = false;
     std::thread m_thread;
--- a/src/callers/session.h
+++ b/src/callers/session.h
@@ -35,6 +35,9 @@
 
     void close_if_idle();
     void close_now();
+    /// Closes the socket and removes the session from its core.
+    void close();
+
     /// Whether the session waits for a request or for the rest of one.
     [[nodiscard]] bool is_incomplete() const
     {
@@ -79,7 +82,6 @@
     void on_written(bool keep_open);
     void linger();
     void discard_input();
-    void close();
 
     std::shared_ptr<server_core> m_core;
     boost::asio::ip::tcp::socket m_socket;
--- a/src/controlplane/entry_host.cpp
+++ b/src/controlplane/entry_host.cpp
@@ -40,6 +40,7 @@
 constexpr std::chrono::milliseconds stop_margin{700};
 constexpr std::size_t max_caller_body_bytes = std::size_t{256} << 10U;
 constexpr std::size_t max_probe_body_bytes = std::size_t{4} << 10U;
+constexpr std::size_t max_probe_connections = 256;
 constexpr std::size_t max_probe_memory_bytes = std::size_t{4} << 20U;
 
 std::chrono::milliseconds timeout_of(const callers::http_request& request,
@@ -61,6 +62,7 @@
 {
     callers::http_server_limits limits;
     limits.max_body_bytes = max_probe_body_bytes;
+    limits.max_connections = max_probe_connections;
     limits.max_request_memory_bytes = max_probe_memory_bytes;
     return limits;
 }
@@ -157,6 +159,7 @@
             on_internal(request, reply);
         },
         m_internal);
+    limits.max_connections = m_settings.max_connections;
     limits.max_request_memory_bytes = m_settings.max_request_memory_bytes;
     if (status.ok()) {
         status = listen(
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -76,9 +76,13 @@
 
 void read_limits(json_reader& reader, process_settings& out)
 {
+    constexpr std::int64_t max_connections = 100'000;
     constexpr std::int64_t max_memory_mb = 16'384;
+    auto connections = static_cast<std::int64_t>(out.max_connections);
     auto memory_mb = static_cast<std::int64_t>(out.max_request_memory_bytes >> 20U);
+    reader.read("max_connections", connections, 1, max_connections, presence::optional);
     reader.read("max_request_memory_mb", memory_mb, 1, max_memory_mb, presence::optional);
+    out.max_connections = static_cast<std::size_t>(connections);
     out.max_request_memory_bytes = static_cast<std::size_t>(memory_mb) << 20U;
 }
 
--- a/tests/callers/http_server_test.cpp
+++ b/tests/callers/http_server_test.cpp
@@ -71,6 +71,7 @@
     CPPUNIT_TEST(server_oversized_trailers_and_extensions_get_431);
     CPPUNIT_TEST(server_too_much_request_memory_oldest_incomplete_gets_503);
     CPPUNIT_TEST(server_memory_taken_by_complete_requests_next_gets_503);
+    CPPUNIT_TEST(server_full_stale_connection_makes_room);
     CPPUNIT_TEST(server_slow_sender_gets_408_and_is_closed);
     CPPUNIT_TEST(server_silent_connection_is_closed);
     CPPUNIT_TEST(server_expect_continue_gets_interim_answer);
@@ -246,6 +247,21 @@
         assert_status(200, first.read_answer());
     }
 
+    // Guards against a crowd of silent connections that keeps new callers out.
+    void server_full_stale_connection_makes_room()
+    {
+        m_limits.max_connections = 1;
+        start_echo();
+        raw_client silent{m_server->port()};
+        CPPUNIT_ASSERT(wait_until([this] { return m_server->counters().connections_open == 1; }));
+        CPPUNIT_ASSERT(wait_until([this] {
+            raw_client next{m_server->port()};
+            next.send(get("/next"));
+            return next.read_answer().starts_with("HTTP/1.1 200");
+        }));
+        CPPUNIT_ASSERT(silent.closed_by_server());
+    }
+
     void server_slow_sender_gets_408_and_is_closed()
     {
         m_limits.request_timeout = 300ms;
