--- a/include/lovagebeam/jobs/ledger.h
+++ b/include/lovagebeam/jobs/ledger.h
@@ -101,6 +101,10 @@
     /// The sum over all queues.
     [[nodiscard]] std::uint64_t pending() const;
 
+    /// The core processes that the last leader knew, with and without a disk. After a restart of all
+    /// of them, the seeds may lead to only a part of them.
+    [[nodiscard]] const std::set<std::string>& core_addresses() const { return m_cores; }
+
     [[nodiscard]] std::uint64_t catalog_version() const { return m_catalog_version; }
     [[nodiscard]] const std::string& catalog_document() const { return m_catalog; }
 
@@ -142,6 +146,7 @@
     std::map<base::worker_id, departure> m_departed;
     std::uint64_t m_catalog_version = 0;
     std::string m_catalog;
+    std::set<std::string> m_cores;
     std::uint64_t m_history = 0;
 
     // Derived from the above.
--- a/src/controlplane/core_calls.cpp
+++ b/src/controlplane/core_calls.cpp
@@ -98,7 +98,7 @@
     const bool is_leader = m_coordinator && m_log.is_established_leader(now);
     answer.set_is_leader(is_leader);
     answer.set_leader(m_group.leader(now));
-    for (const auto& core : m_group.cores()) {
+    for (const auto& core : m_group.cores(now)) {
         answer.add_cores(core);
     }
     answer.set_catalog_version(records().catalog_version());
@@ -117,7 +117,7 @@
                                            const callers::reply& reply)
 {
     pb::CoreHello hello;
-    if (!hello.ParseFromString(body)) {
+    if (!hello.ParseFromString(body) || !core_directory::is_address(hello.core())) {
         reply(callers::error_response(400, error_code::invalid_request, "malformed call"));
         return;
     }
