--- a/include/lovagebeam/jobs/ledger.h
+++ b/include/lovagebeam/jobs/ledger.h
@@ -101,8 +101,8 @@
     /// The sum over all queues.
     [[nodiscard]] std::uint64_t pending() const;
 
-    /// The core processes that the last leader knew, with and without a disk. After a restart of all
-    /// of them, the seeds may lead to only a part of them.
+    /// The core processes that the last leader knew, with and without a disk. After a restart of
+    /// all of them, the seeds may lead to only a part of them.
     [[nodiscard]] const std::set<std::string>& core_addresses() const { return m_cores; }
 
     [[nodiscard]] std::uint64_t catalog_version() const { return m_catalog_version; }
