Apply the time limit of a request to a sender that never pauses

What was seen (review of the limits): one connection that sent chunks of one byte with long extensions went on for 13 s and 6.6 GB; the limit is 10 s.

Cause: the timer cancels the pending read. If bytes are always there, the read has completed already. And an eager parser doesn't return while the bytes that have arrived end within a chunk's header, so neither time nor memory were looked at meanwhile, for requests and for answers of targets.

Change: the parser isn't eager; each part of a request looks at the time limit and at a refusal before its memory is counted; so does the input that is discarded before a connection is closed.

--- a/src/callers/session.cpp
+++ b/src/callers/session.cpp
@@ -139,6 +139,8 @@
 }
 
 // Header and body are read in parts, so that the memory of the request is counted while it arrives.
+// The parser isn't eager: it would go on reading, without a look at memory and time, as long as the
+// bytes that have arrived end within a chunk's header.
 void session::read_more_header()
 {
     if (!charge(m_buffer.capacity())) {
@@ -200,7 +202,6 @@
 
 void session::read_body()
 {
-    m_parser->eager(true);
     read_more_body();
 }
 
@@ -225,11 +226,20 @@
 
 bool session::charge(std::size_t bytes)
 {
+    // The timer and `refuse_incomplete` cancel the pending read, which may have completed already.
+    if (m_timed_out) {
+        reject(beast::error_code{beast::error::timeout});
+        return false;
+    }
+    if (m_refused) {
+        reject(no_memory_response());
+        return false;
+    }
     const auto before = std::exchange(m_charged, bytes);
-    if (m_core->charge(*this, before, bytes) && !m_refused) {
+    if (m_core->charge(*this, before, bytes)) {
         return true;
     }
-    m_core->counters().requests_refused += m_refused ? 0 : 1;
+    ++m_core->counters().requests_refused;
     reject(no_memory_response());
     return false;
 }
@@ -388,7 +398,7 @@
                                  if (self->m_phase == phase::closed) {
                                      return;
                                  }
-                                 if (ec) {
+                                 if (ec || self->m_timed_out) {
                                      self->close();
                                      return;
                                  }
--- a/src/callers/session.h
+++ b/src/callers/session.h
@@ -70,7 +70,8 @@
     void read_body();
     void read_more_header();
     void read_more_body();
-    /// Counts the memory of the request. Refuses it and returns false if there is no room.
+    /// Counts the memory of the request. Refuses it and returns false if there is no room, or if
+    /// its time or its memory was taken away meanwhile.
     bool charge(std::size_t bytes);
     void release_memory();
     void on_body(boost::beast::error_code ec);
--- a/src/targets/connection.cpp
+++ b/src/targets/connection.cpp
@@ -158,11 +158,11 @@
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_limits.max_response_header_bytes));
     m_parser->body_limit(m_limits.max_response_body_bytes);
-    m_parser->eager(true);
     read_more();
 }
 
-// Reads in parts, so that the memory of the response is counted while it arrives.
+// Reads in parts, so that the memory of the response is counted while it arrives. The parser isn't
+// eager: it would go on reading as long as the bytes that have arrived end within a chunk's header.
 void connection::read_more()
 {
     http::async_read_some(m_socket, m_buffer, *m_parser,
--- a/tests/callers/http_server_test.cpp
+++ b/tests/callers/http_server_test.cpp
@@ -73,6 +73,7 @@
     CPPUNIT_TEST(server_memory_taken_by_complete_requests_next_gets_503);
     CPPUNIT_TEST(server_full_stale_connection_makes_room);
     CPPUNIT_TEST(server_slow_sender_gets_408_and_is_closed);
+    CPPUNIT_TEST(server_sender_without_pause_is_timed_out);
     CPPUNIT_TEST(server_silent_connection_is_closed);
     CPPUNIT_TEST(server_expect_continue_gets_interim_answer);
     CPPUNIT_TEST(server_too_many_connections_get_503);
@@ -282,6 +283,27 @@
         CPPUNIT_ASSERT(client.closed_by_server());
     }
 
+    // Guards against a request without end whose bytes are always there already when the time limit
+    // is reached, so that no read is pending that it could cancel.
+    void server_sender_without_pause_is_timed_out()
+    {
+        m_limits.request_timeout = 200ms;
+        start_echo();
+        raw_client client{m_server->port()};
+        client.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n");
+        const std::string chunk = "1;name=" + std::string(15'000, 'x') + "\r\nx\r\n";
+        std::string chunks;
+        for (int i = 0; i < 100; ++i) {
+            chunks += chunk;
+        }
+        const auto end = std::chrono::steady_clock::now() + test::test_timeout;
+        bool is_open = true;
+        while (is_open && std::chrono::steady_clock::now() < end) {
+            is_open = client.send(chunks);
+        }
+        CPPUNIT_ASSERT(!is_open);
+    }
+
     void server_silent_connection_is_closed()
     {
         m_limits.idle_timeout = 100ms;
