Count the memory of header fields

What was seen (review of the limits): 2,400 connections with headers of 16 KiB and as many fields as fit, each within the limits, raised an entry process to 718 MB (bound 168 MB).

Cause: only the read buffer and the body were counted. Each field is an allocation of its own: four bytes of text take about 80.

Change: each field counts with its text and 128 bytes.

Measured: test_entry_many_small_fields_memory_is_bounded failed before and passes.

--- a/src/callers/session.cpp
+++ b/src/callers/session.cpp
@@ -33,8 +33,20 @@
 // extensions, or all trailers. Beast limits only the first of them.
 constexpr std::size_t buffer_reserve_bytes = std::size_t{16} * 1024;
 
+// Beast allocates each field separately. Rounded up, with what the allocator adds.
+constexpr std::size_t field_overhead_bytes = 128;
+
 constexpr std::string_view refusal_retry_seconds = "1";
 
+std::size_t memory_of(const beast_request& message)
+{
+    std::size_t bytes = message.body().size();
+    for (const auto& field : message) {
+        bytes += field_overhead_bytes + field.name_string().size() + field.value().size();
+    }
+    return bytes;
+}
+
 http_response no_memory_response()
 {
     auto response = error_response(503, base::error_code::queue_full,
@@ -143,7 +155,7 @@
 // bytes that have arrived end within a chunk's header.
 void session::read_more_header()
 {
-    if (!charge(m_buffer.capacity())) {
+    if (!charge(m_buffer.capacity() + memory_of(m_parser->get()))) {
         return;
     }
     if (m_parser->is_header_done()) {
@@ -207,7 +219,7 @@
 
 void session::read_more_body()
 {
-    if (!charge(m_buffer.capacity() + m_parser->get().body().size())) {
+    if (!charge(m_buffer.capacity() + memory_of(m_parser->get()))) {
         return;
     }
     if (m_parser->is_done()) {
--- a/tests/processes/client_limits_test.py
+++ b/tests/processes/client_limits_test.py
@@ -242,12 +242,15 @@
         process has ended each of them."""
         head = (f"{method} {path} HTTP/1.1\r\nHost: desk.example\r\nContent-Type: application/json\r\n"
                 f"Content-Length: {size}\r\n\r\n").encode()
+        self.send_unfinished(port, count, head + b" " * (size - 1))
+
+    def send_unfinished(self, port, count, request):
         with contextlib.ExitStack() as held:
             opened = []
             for _ in range(count):
                 with contextlib.suppress(OSError):
                     opened.append(held.enter_context(socket.create_connection((self.address, port), timeout=WAIT_S)))
-                    opened[-1].sendall(head + b" " * (size - 1))
+                    opened[-1].sendall(request)
             for connection in opened:
                 with contextlib.suppress(OSError):
                     connection.recv(4096)
@@ -270,6 +273,12 @@
         self.send_unfinished_bodies(CALLERS, "POST", "/batch/00000000000000a1", 1000, 262144)
         self.check(self.entry, ENTRY_MEMORY)
 
+    # Headers of 16 KiB with as many fields as fit, each of which takes far more memory than its text.
+    def test_entry_many_small_fields_memory_is_bounded(self):
+        head = b"POST /batch/00000000000000a1 HTTP/1.1\r\nHost: desk.example\r\nContent-Length: 100\r\n"
+        self.send_unfinished(CALLERS, 2400, head + b"a:\r\n" * ((16300 - len(head)) // 4) + b"\r\n")
+        self.check(self.entry, ENTRY_MEMORY)
+
     # Bodies that are complete and wait for an answer from a core process that is stopped.
     def test_entry_waiting_bodies_memory_is_bounded(self):
         self.core.popen.send_signal(19)
