--- a/tests/adapter/worker_messages_test.cpp
+++ b/tests/adapter/worker_messages_test.cpp
@@ -24,6 +24,7 @@
     CPPUNIT_TEST(hold_answer_with_malformed_row_is_rejected);
     CPPUNIT_TEST(heartbeat_valid_is_read);
     CPPUNIT_TEST(heartbeat_malformed_is_rejected);
+    CPPUNIT_TEST(heartbeat_too_large_is_rejected);
     CPPUNIT_TEST(heartbeat_deeply_nested_is_rejected);
     CPPUNIT_TEST(heartbeat_number_too_large_is_rejected);
     CPPUNIT_TEST(heartbeat_address_unusable_is_rejected);
@@ -91,6 +92,15 @@
         CPPUNIT_ASSERT(decode_heartbeat("i-1", heartbeat_with("odd", "[[[[]]]]")).ok());
     }
 
+    // Guards against labels that fill the memory of all core processes, which keep the heartbeat.
+    void heartbeat_too_large_is_rejected()
+    {
+        const std::string label(20'000, 'x');
+        CPPUNIT_ASSERT(
+            !decode_heartbeat("i-1", heartbeat_with("labels", "[\"" + label + "\"]")).ok());
+        CPPUNIT_ASSERT(!decode_heartbeat(label, heartbeat_with("labels", "[]")).ok());
+    }
+
     void heartbeat_number_too_large_is_rejected()
     {
         for (const auto* const number : {"1e300", "9223372036854775807", "18446744073709551616",
--- a/tests/processes/client_limits_test.py
+++ b/tests/processes/client_limits_test.py
@@ -312,6 +312,16 @@
         self.send_unfinished_bodies(CONTROL, "PUT", "/lovagebeam/instances/i-2", 100, 4 * MB)
         self.check(self.core, CORE_MEMORY)
 
+    # Heartbeats are kept in the replicated state.
+    def test_core_large_heartbeats_memory_is_bounded(self):
+        for number in range(40):
+            body = {"service": "desk", "address": f"{self.network}.2.2:{WORKER}", "zone": "z1", "version": "v1", "slots": 8,
+                    "state": "ready", "coldRemainingMs": 0,
+                    "capacity": {"cpu": 64000, "memoryRequestMb": 262144, "gpu": 0}, "labels": ["x" * 4000000],
+                    "clockMs": 1, "sequence": 1, "born": 1}
+            self.call(CONTROL, "PUT", f"/lovagebeam/instances/i-large-{number}", body)
+        self.check(self.core, CORE_MEMORY)
+
     # Answers of a worker to the calls of a core process.
 
     def answer_without_end(self, head, rest):
