Count the fields of a header once

Cause: the memory of the fields was added up for each part of a request, so a header with thousands of fields before a body of small chunks would have kept the server's thread busy. Found when the diff was read, not measured.

--- a/src/callers/session.cpp
+++ b/src/callers/session.cpp
@@ -38,9 +38,9 @@
 
 constexpr std::string_view refusal_retry_seconds = "1";
 
-std::size_t memory_of(const beast_request& message)
+std::size_t memory_of_fields(const beast_request& message)
 {
-    std::size_t bytes = message.body().size();
+    std::size_t bytes = 0;
     for (const auto& field : message) {
         bytes += field_overhead_bytes + field.name_string().size() + field.value().size();
     }
@@ -141,21 +141,22 @@
     m_phase = phase::reading;
     m_waiting_since = std::chrono::steady_clock::now();
     m_refused = false;
+    m_field_bytes = 0;
     m_keep_alive = true;
     m_head_request = false;
     m_parser.emplace();
     m_parser->header_limit(static_cast<std::uint32_t>(m_core->limits().max_header_bytes));
     m_parser->body_limit(m_core->limits().max_body_bytes);
     start_timer(m_core->limits().request_timeout);
-    read_more_header();
+    read_header_part();
 }
 
 // Header and body are read in parts, so that the memory of the request is counted while it arrives.
 // The parser isn't eager: it would go on reading, without a look at memory and time, as long as the
 // bytes that have arrived end within a chunk's header.
-void session::read_more_header()
+void session::read_header_part()
 {
-    if (!charge(m_buffer.capacity() + memory_of(m_parser->get()))) {
+    if (!charge()) {
         return;
     }
     if (m_parser->is_header_done()) {
@@ -168,7 +169,7 @@
                                   self->on_header(ec);
                                   return;
                               }
-                              self->read_more_header();
+                              self->read_header_part();
                           });
 }
 
@@ -182,6 +183,7 @@
         return;
     }
     const auto& header = m_parser->get();
+    m_field_bytes = memory_of_fields(header);
     m_keep_alive = header.keep_alive();
     m_head_request = header.method() == http::verb::head;
     if (auto refused = check_header(header, m_parser->content_length(), m_parser->chunked(),
@@ -214,12 +216,7 @@
 
 void session::read_body()
 {
-    read_more_body();
-}
-
-void session::read_more_body()
-{
-    if (!charge(m_buffer.capacity() + memory_of(m_parser->get()))) {
+    if (!charge()) {
         return;
     }
     if (m_parser->is_done()) {
@@ -232,11 +229,11 @@
                                   self->on_body(ec);
                                   return;
                               }
-                              self->read_more_body();
+                              self->read_body();
                           });
 }
 
-bool session::charge(std::size_t bytes)
+bool session::charge()
 {
     // The timer and `refuse_incomplete` cancel the pending read, which may have completed already.
     if (m_timed_out) {
@@ -247,6 +244,7 @@
         reject(no_memory_response());
         return false;
     }
+    const auto bytes = m_buffer.capacity() + m_field_bytes + m_parser->get().body().size();
     const auto before = std::exchange(m_charged, bytes);
     if (m_core->charge(*this, before, bytes)) {
         return true;
--- a/src/callers/session.h
+++ b/src/callers/session.h
@@ -68,11 +68,10 @@
     void on_header(boost::beast::error_code ec);
     void send_continue();
     void read_body();
-    void read_more_header();
-    void read_more_body();
+    void read_header_part();
     /// Counts the memory of the request. Refuses it and returns false if there is no room, or if
     /// its time or its memory was taken away meanwhile.
-    bool charge(std::size_t bytes);
+    bool charge();
     void release_memory();
     void on_body(boost::beast::error_code ec);
     void dispatch();
@@ -99,6 +98,7 @@
     bool m_timed_out = false;
     bool m_refused = false; ///< Another request needs the memory of this incomplete one.
     base::time_point m_waiting_since;
+    std::size_t m_field_bytes = 0; ///< memory of the header's fields
     std::size_t m_charged = 0;
     bool m_counted_in_progress = false; ///< Included in `requests_in_progress`.
 };
--- a/src/controlplane/core_directory.h
+++ b/src/controlplane/core_directory.h
@@ -7,7 +7,6 @@
 #include <map>
 #include <set>
 #include <string>
-#include <vector>
 
 namespace lovagebeam::controlplane {
 
