--- a/review/harness_2.py
+++ b/review/harness_2.py
@@ -437,12 +437,12 @@
         finally:
             connection.close()
 
-    def submit(self, prefix, key, document, job=None):
+    def submit(self, prefix, key, document, job=None, host=None):
         """Hands a job in, as a client with four retries. Returns its id, or None if it wasn't accepted."""
         job = job or f"{random.getrandbits(64):016x}"
         self.jobs[job] = document
         for attempt in range(5):
-            status, _ = self.call("POST", prefix + job, key, json.dumps(document))
+            status, _ = self.call("POST", prefix + job, key, json.dumps(document), host=host)
             self.record.write(f"client  POST {prefix}{job} -> {status}")
             if status == 200:
                 self.accepted[job] = time.monotonic()
