Give each instance of a worker a fencing token of its own

A start without an answer was given up after a stop, and the task was placed again. The worker crashed and came back under its id, and then the start arrived: the stop had bound the earlier process only, X-Expect-Instance names the id, which is the same, the deadline is on the clock of the earlier process, and the leader used one fencing token for all of its orders. So the new process began the run. A late hold extended the lease of the next process in the same way, beyond what the leader knew.

Cause: a fencing token told leaders apart, but not the processes of a worker.

Now each instance of a worker has a token, which rises when a new instance is seen, and when a hold goes unanswered, as the next hold may be the first call that a new process gets. A run that was sent to an earlier instance is settled by the first lists of the new one: whatever was sent before carries a lower token than that hold, so it is listed or refused. The list of starts of earlier instances and the stops for them aren't needed any more. Where calls are relayed, the first hold to a new instance goes straight to it, since a paused process would pass it on behind the old starts. No start is sent while the token is unconfirmed.

Ruled out: that the relay alone is at fault (the late form has none), and that the deadline of the start could tell (it is a time on the worker's clock, which starts anew).

Logs: worker_restarted (leader), start_fenced (a core process that passed on an outdated start; its leader may have given up on the answer).

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -299,7 +299,6 @@
 
     coordinator_settings m_settings;
     const ledger& m_ledger;
-    fencing_token m_token;
     worker_table m_workers;
     advice_scheduler m_advice;
     std::shared_ptr<const catalog> m_catalog;
--- a/include/lovagebeam/jobs/orders.h
+++ b/include/lovagebeam/jobs/orders.h
@@ -13,7 +13,9 @@
 /// Milliseconds on the clock of one worker, which counts from the worker's start.
 using worker_time = std::chrono::duration<std::int64_t, std::milli>;
 
-/// Grows with each leader. Workers refuse orders with a lower token than they have seen.
+/// Grows with each leader and with each instance of a worker that a leader sees. Workers refuse
+/// orders with a lower token than they have seen. A worker that starts again has seen none, so the
+/// leader's first call to the new instance makes it refuse what was sent to earlier ones.
 using fencing_token = base::strong_number<struct fencing_token_tag>;
 
 /// Destination of an order: one instance of a worker, told apart by its start time.
@@ -49,6 +51,8 @@
     std::uint64_t cursor = 0;            ///< ends up to this number may be forgotten
     milliseconds wait{};                 ///< how long the worker may wait for an end
     bool is_check = false;               ///< sent while another hold is open
+    /// Must not queue behind orders that were sent to an earlier instance of the worker.
+    bool is_direct = false;
     fencing_token token;
 };
 
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -113,7 +113,7 @@
     };
 
     /// Starts with the placements in `records`, which must outlive this object. An earlier leader
-    /// may have extended leases until `now`.
+    /// may have extended leases until `now`. Orders carry tokens higher than `token`.
     worker_table(worker_settings settings, const ledger& records, fencing_token token,
                  base::time_point now);
 
@@ -123,10 +123,10 @@
     /// A worker reported the time of its clock.
     void on_clock(base::time_point now, const base::worker_id& id, worker_time clock);
 
-    /// Records the start of a committed placement and returns its deadline, or nothing when no
-    /// start can be sent to the worker; the worker's lists then decide how the placement ends.
-    [[nodiscard]] std::optional<worker_time> on_start_sent(base::time_point now,
-                                                           const run_key& run);
+    /// Records the start of a committed placement and returns the order without its payload,
+    /// checkpoint and ticket, or nothing when no start can be sent to the worker; the worker's
+    /// lists then decide how the placement ends.
+    [[nodiscard]] std::optional<start_order> make_start(base::time_point now, const run_key& run);
     void on_start_answer(base::time_point now, const run_key& run, const base::worker_id& worker,
                          start_outcome outcome);
     void on_stop_done(base::time_point now, const run_key& run, const base::worker_id& worker);
@@ -147,7 +147,8 @@
     [[nodiscard]] bool is_quarantined(base::time_point now, const base::worker_id& id) const;
     /// The runs that the worker last listed as running; empty for an unknown worker.
     [[nodiscard]] const std::map<run_key, running_row>& running_on(const base::worker_id& id) const;
-    [[nodiscard]] std::optional<worker_address> address_of(const base::worker_id& id) const;
+    /// The highest token that an order of this leader may carry.
+    [[nodiscard]] fencing_token last_token() const { return m_last_token; }
     /// Whether a start was sent to the worker less than `time` ago.
     [[nodiscard]] bool has_start_within(base::time_point now, const base::worker_id& id,
                                         base::duration time) const;
@@ -181,9 +182,11 @@
     };
     struct entry {
         worker_info info;
+        fencing_token token; ///< of orders to this worker
         bool is_removed = false;
         bool is_registered = true;    ///< the ledger has this instance, not an earlier one
-        bool is_fenced = false;       ///< answered a hold under this leader's token
+        bool is_successor = false;    ///< of a known instance, and hasn't answered a hold yet
+        bool is_fenced = false;       ///< answered a hold with `token`, so it refuses lower ones
         bool has_missed_hold = false; ///< didn't answer the last hold
         /// When the first start after the worker's last answer was sent.
         std::optional<base::time_point> unanswered_since;
@@ -205,9 +208,6 @@
         base::time_point check_sent; ///< the last hold sent while another was open
         base::time_point next_hold;
         std::map<run_key, sent_start> starts;
-        /// Starts that were sent to an earlier instance with the same id, which never listed them,
-        /// and may reach this one; with the time at which a stop of the run was answered.
-        std::map<run_key, std::optional<base::time_point>> earlier_starts;
         std::map<run_key, running_row> running;
         std::map<run_key, progress> progress_by_run;
         std::map<run_key, base::time_point> stop_sent_at; ///< of the last stop
@@ -246,6 +246,8 @@
     /// Reports that a run ended with the worker's process.
     void report_process_end(entry& worker, const run_key& run);
     void begin_instance(entry& worker, base::time_point now, const worker_info& info);
+    /// Makes the worker refuse all earlier orders once it has received the next one.
+    void raise_token(entry& worker);
     /// Records that the process of the worker's present instance has ended.
     const process_end& end_process(entry& worker, base::time_point now);
     /// Returns the end of an instance of the worker, or nullptr if this leader hasn't seen it.
@@ -263,8 +265,6 @@
     /// Ends all placements on a worker whose leases have expired.
     void end_lapsed_placements(entry& worker);
     void end_process_runs(entry& worker, base::time_point now);
-    void resolve_other_instance(entry& worker, base::time_point now, base::time_point sent,
-                                const run_key& run);
     void read_hold(entry& worker, base::time_point now, base::time_point sent,
                    const hold_order& order, hold_outcome outcome, const hold_answer& answer);
     void read_failed_hold(entry& worker, base::time_point now, hold_outcome outcome);
@@ -284,7 +284,7 @@
     /// Placed runs for which this leader can't have sent a start.
     std::set<run_key> m_unsent;
     const ledger& m_ledger;
-    fencing_token m_token;
+    fencing_token m_last_token; ///< the highest one of a worker
     std::map<base::worker_id, entry> m_workers;
     std::size_t m_unresponsive_workers = 0; ///< count at the last tick
     base::duration m_mean_start_time{};     ///< of answered start calls, exponentially weighted
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -31,8 +31,9 @@
 constexpr std::chrono::milliseconds commit_timeout{3'000};
 /// The coordinator is recreated if its decisions aren't committed by then.
 constexpr std::chrono::milliseconds batch_commit_timeout{10'000};
-/// Number of fencing tokens reserved for a term; each coordinator takes one.
-constexpr std::uint64_t tokens_per_term = 1'024;
+/// Number of fencing tokens of a term; each instance of a worker that a coordinator sees takes one.
+/// The tokens of 2^27 terms are exact in every JSON implementation.
+constexpr std::uint64_t tokens_per_term = std::uint64_t{1} << 26U;
 /// How long a planned stop waits for the next leader.
 constexpr std::chrono::milliseconds handover_wait{400};
 /// Time that an entry process may add to the timeout of the advice service.
@@ -183,7 +184,6 @@
         .write();
     if (change.role != consensus::replica_role::leader || change.term != m_term) {
         stop_leading();
-        m_coordinators_in_term = 0;
         m_term = change.term;
     }
 }
@@ -293,8 +293,9 @@
         return;
     }
     ++m_generation;
-    const jobs::fencing_token token{m_log.replica().current_term().value() * tokens_per_term +
-                                    m_coordinators_in_term++};
+    const jobs::fencing_token first_of_term{m_log.replica().current_term().value() *
+                                            tokens_per_term};
+    const auto token = std::max(first_of_term, m_last_token);
     m_coordinator = std::make_unique<jobs::coordinator>(coordinator_settings_for(m_settings),
                                                         records(), token, now, wall(now));
     if (m_catalog) {
@@ -312,6 +313,7 @@
 {
     if (m_coordinator) {
         log_event{severity::info, "stopped_leading"}.write();
+        m_last_token = m_coordinator->workers().last_token();
         m_coordinator.reset();
         m_callers.stop_leading();
     }
--- a/src/controlplane/core_host_implementation.h
+++ b/src/controlplane/core_host_implementation.h
@@ -116,8 +116,8 @@
     std::atomic<bool> m_is_stopped = false;
 
     std::unique_ptr<jobs::coordinator> m_coordinator;
-    std::uint64_t m_generation = 0;           ///< number of coordinators that this process created
-    std::uint64_t m_coordinators_in_term = 0; ///< created by this process in `m_term`
+    std::uint64_t m_generation = 0;   ///< number of coordinators that this process created
+    jobs::fencing_token m_last_token; ///< of the coordinators that this process created
     consensus::term m_term;
     std::shared_ptr<const jobs::catalog> m_catalog;
     /// Last sequence number of each worker instance; reports with lower numbers are ignored.
--- a/src/controlplane/worker_relay.cpp
+++ b/src/controlplane/worker_relay.cpp
@@ -73,7 +73,7 @@
 
 } // namespace
 
-worker_relay::worker_relay(worker_port& workers, daemon::peer_links& links,
+worker_relay::worker_relay(worker_port& workers, daemon::peer_sender& links,
                            daemon::decision_loop& loop)
     : m_workers{workers}, m_links{links}, m_loop{loop}
 {
@@ -152,7 +152,7 @@
 void worker_relay::hold(const jobs::hold_order& order,
                         std::function<void(jobs::hold_outcome, jobs::hold_answer)> done)
 {
-    const auto relay = relay_for(order.to.worker);
+    const auto relay = order.is_direct ? std::string{} : relay_for(order.to.worker);
     if (relay.empty()) {
         m_workers.hold(order, std::move(done));
         return;
@@ -209,7 +209,15 @@
     result.set_id(order.id());
     switch (order.body_case()) {
     case pb::RelayOrder::kStart:
-        m_workers.start(start_from(order), [result, post_answer](auto how) mutable {
+        m_workers.start(start_from(order), [order, result, post_answer](auto how) mutable {
+            if (how == jobs::start_outcome::fenced) {
+                // The leader may have given up the order long ago, so that only this line tells.
+                log_event{severity::info, "start_fenced"}
+                    .with("job", jobs::format_job_id(from_proto(order.start().run()).task.job))
+                    .with("worker", order.to().worker())
+                    .with("token", order.token())
+                    .write();
+            }
             result.set_outcome(static_cast<std::uint32_t>(how));
             post_answer(std::move(result));
         });
--- a/src/controlplane/worker_relay.h
+++ b/src/controlplane/worker_relay.h
@@ -4,7 +4,7 @@
 
 #include "controlplane.pb.h"
 #include "decision_loop.h"
-#include "peer_links.h"
+#include "ports.h"
 
 #include <cstdint>
 #include <functional>
@@ -23,7 +23,7 @@
 class worker_relay final : public worker_port {
 public:
     /// The arguments must outlive this object.
-    worker_relay(worker_port& workers, daemon::peer_links& links, daemon::decision_loop& loop);
+    worker_relay(worker_port& workers, daemon::peer_sender& links, daemon::decision_loop& loop);
 
     /// Sets the core processes that may relay calls, without this one.
     void set_cores(std::vector<std::string> cores);
@@ -66,7 +66,7 @@
     void answer(const base::node_id& to, outcome result);
 
     worker_port& m_workers;
-    daemon::peer_links& m_links;
+    daemon::peer_sender& m_links;
     daemon::decision_loop& m_loop;
     std::vector<std::string> m_cores;
     std::map<std::string, base::time_point>
--- a/src/daemon/peer_links.h
+++ b/src/daemon/peer_links.h
@@ -41,7 +41,7 @@
     /// Replaces the set of hosts that this one connects to and accepts connections from.
     void update_peers(std::vector<peers::peer_address> peers);
 
-    [[nodiscard]] bool is_connected(const base::node_id& peer) const;
+    [[nodiscard]] bool is_connected(const base::node_id& peer) const override;
 
     [[nodiscard]] peers::network_counters counters() const;
 
--- a/src/daemon/ports.h
+++ b/src/daemon/ports.h
@@ -11,7 +11,7 @@
 
 namespace lovagebeam::daemon {
 
-/// Sends bytes to other hosts. Messages may be lost.
+/// The connections to other hosts. Messages may be lost.
 class peer_sender {
 public:
     peer_sender() = default;
@@ -20,6 +20,7 @@
     virtual ~peer_sender() = default;
 
     virtual void send(const base::node_id& to, peers::channel which, std::string bytes) = 0;
+    [[nodiscard]] virtual bool is_connected(const base::node_id& peer) const = 0;
 };
 
 /// Makes the log and snapshots durable. Completion callbacks run on the decisions thread, in the
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -32,8 +32,7 @@
 
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
-    : m_settings{settings}, m_ledger{records}, m_token{token}, m_workers{settings.workers, records,
-                                                                         token, now},
+    : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
       m_advice{settings.advice}, m_last_forget{now}
 {
     for (const auto id : records.open_jobs()) {
@@ -330,27 +329,21 @@
 {
     const auto& job = *m_ledger.find(run.task.job);
     const auto& task = *m_ledger.find(run.task);
-    start_order order;
+    auto order = m_workers.make_start(now, run);
+    if (!order) {
+        return;
+    }
     if (advice_for(job.spec) != nullptr) {
         const auto* const known = m_advice.find(step_of(run.task));
         const auto ticket =
             known == nullptr ? decltype(known->allowed.end()){} : known->allowed.find(task.worker);
         if (known != nullptr && ticket != known->allowed.end()) {
-            order.ticket = ticket->second.text;
+            order->ticket = ticket->second.text;
         }
     }
-    const auto deadline = m_workers.on_start_sent(now, run);
-    const auto address = m_workers.address_of(task.worker);
-    if (!deadline || !address) {
-        return;
-    }
-    order.to = *address;
-    order.run = run;
-    order.payload = job.spec.payload;
-    order.checkpoint = task.checkpoint;
-    order.deadline = *deadline;
-    order.token = m_token;
-    m_out.starts.push_back(std::move(order));
+    order->payload = job.spec.payload;
+    order->checkpoint = task.checkpoint;
+    m_out.starts.push_back(*std::move(order));
 }
 
 void coordinator::on_ended(base::time_point now, const pb::EndTask& operation)
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -55,7 +55,8 @@
         worker.is_registered = false;
         return;
     }
-    worker.is_fenced = true;
+    worker.is_successor = false;
+    worker.is_fenced = worker.is_fenced || order.token == worker.token;
     worker.has_missed_hold = false;
     worker.has_closed_connection = false;
     worker.refused_connections = 0;
@@ -81,6 +82,11 @@
 void worker_table::read_failed_hold(entry& worker, base::time_point now, hold_outcome outcome)
 {
     const bool is_closed = outcome == hold_outcome::closed;
+    if (!worker.has_missed_hold) {
+        // The worker may have restarted: its new process has to refuse earlier orders from the next
+        // hold on.
+        raise_token(worker);
+    }
     worker.has_missed_hold = true;
     worker.has_closed_connection = worker.has_closed_connection || is_closed;
     worker.next_hold = now + (is_closed ? m_settings.closed_retry : m_settings.hold_retry);
@@ -194,7 +200,9 @@
             continue;
         }
         if (task.worker_started_at != worker.info.started_at) {
-            resolve_other_instance(worker, now, sent, run);
+            // A start that was sent to the earlier instance carries a lower token than the hold
+            // that this instance has answered.
+            report_process_end(worker, run);
             continue;
         }
         if (start == worker.starts.end()) {
@@ -216,21 +224,6 @@
     }
 }
 
-// The current instance has seen this leader's token, so it refuses orders of earlier leaders. A
-// start of this leader that was in transit when the worker restarted may still arrive.
-void worker_table::resolve_other_instance(entry& worker, base::time_point now,
-                                          base::time_point sent, const run_key& run)
-{
-    const auto earlier_start = worker.earlier_starts.find(run);
-    if (earlier_start == worker.earlier_starts.end() ||
-        (earlier_start->second && *earlier_start->second < sent)) {
-        report_process_end(worker, run);
-    }
-    else if (!earlier_start->second) {
-        send_stop(worker, now, run);
-    }
-}
-
 void worker_table::update_health(entry& worker, base::time_point now, const run_key& run,
                                  end_kind how)
 {
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -24,7 +24,7 @@
 
 worker_table::worker_table(worker_settings settings, const ledger& records, fencing_token token,
                            base::time_point now)
-    : m_settings{settings}, m_ledger{records}, m_token{token}
+    : m_settings{settings}, m_ledger{records}, m_last_token{token}
 {
     for (const auto& [id, info] : records.workers()) {
         on_worker(now, info);
@@ -62,12 +62,6 @@
     return {worker.info.id, worker.info.started_at, worker.info.address, worker.info.port};
 }
 
-std::optional<worker_address> worker_table::address_of(const base::worker_id& id) const
-{
-    const auto* const worker = find(id);
-    return worker == nullptr ? std::nullopt : std::optional{address(*worker)};
-}
-
 void worker_table::on_worker(base::time_point now, const worker_info& info)
 {
     auto* const known = find(info.id);
@@ -91,19 +85,18 @@
 {
     entry fresh;
     fresh.info = info;
+    fresh.token = worker.token;
+    raise_token(fresh);
     fresh.quarantines = worker.quarantines;
     fresh.was_usable = worker.was_usable;
-    fresh.earlier_starts = std::move(worker.earlier_starts);
-    for (const auto& [run, start] : worker.starts) {
-        // A start that was answered but never listed may have been carried out by the new instance.
-        if (!worker.running.contains(run)) {
-            fresh.earlier_starts.emplace(run, std::nullopt);
-        }
-    }
-    for (auto& [run, stop_answered_at] : fresh.earlier_starts) {
-        stop_answered_at.reset();
-    }
     if (!worker.info.id.empty()) {
+        fresh.is_successor = true;
+        m_out.log_entries.push_back(
+            {"worker_restarted", std::nullopt,
+             absl::StrCat("worker=", info.id.str(),
+                          " started_ms=", info.started_at.time_since_epoch().count(),
+                          " before_ms=", worker.info.started_at.time_since_epoch().count(),
+                          " token=", fresh.token.value())});
         end_process(worker, now);
         fresh.earlier_ends = std::move(worker.earlier_ends);
         fresh.earlier_ends.emplace(worker.info.started_at, std::move(*worker.end));
@@ -118,6 +111,16 @@
     worker.lease_end = now + std::chrono::duration_cast<base::duration>(longest);
 }
 
+// A worker that was forgotten may come back, so the first token of an entry is above those of all
+// workers.
+void worker_table::raise_token(entry& worker)
+{
+    const auto present = worker.token == fencing_token{} ? m_last_token : worker.token;
+    worker.token = present.next();
+    worker.is_fenced = false;
+    m_last_token = std::max(m_last_token, worker.token);
+}
+
 void worker_table::on_worker_removed(const base::worker_id& id)
 {
     if (auto* const worker = find(id)) {
@@ -154,7 +157,8 @@
     order.to = address(worker);
     // The cursor of an instance that may have ended must not acknowledge ends of the next one.
     order.cursor = worker.has_missed_hold ? 0 : worker.cursor;
-    order.token = m_token;
+    order.token = worker.token;
+    order.is_direct = worker.is_successor;
     // Holds to a worker that doesn't answer must not extend its leases: its placements end when the
     // leases have expired.
     if (worker.clock_read && !worker.has_missed_hold) {
@@ -229,7 +233,7 @@
     auto& last = worker.stop_sent_at[run];
     if (last == base::time_point{} || now - last >= m_settings.stop_retry) {
         last = now;
-        m_out.stops.push_back({address(worker), run, m_token});
+        m_out.stops.push_back({address(worker), run, worker.token});
     }
 }
 
@@ -245,7 +249,7 @@
     }
 }
 
-std::optional<worker_time> worker_table::on_start_sent(base::time_point now, const run_key& run)
+std::optional<start_order> worker_table::make_start(base::time_point now, const run_key& run)
 {
     const auto* const task = m_ledger.find(run.task);
     auto* const worker = task == nullptr ? nullptr : find(task->worker);
@@ -263,7 +267,12 @@
         worker->unanswered_since = now;
     }
     extend_lease(*worker, deadline);
-    return deadline;
+    start_order order;
+    order.to = address(*worker);
+    order.run = run;
+    order.deadline = deadline;
+    order.token = worker->token;
+    return order;
 }
 
 void worker_table::on_start_answer(base::time_point now, const run_key& run,
@@ -307,10 +316,6 @@
         // The lists that settle the start are read without waiting for the interval of the checks.
         worker->check_sent = {};
     }
-    if (const auto found = worker->earlier_starts.find(run);
-        found != worker->earlier_starts.end()) {
-        found->second = now;
-    }
 }
 
 void worker_table::on_cursor_committed(const cursor_move& move)
@@ -330,7 +335,6 @@
     if (auto* const worker = find(id)) {
         worker->reported_ends.erase(run);
         erase_start(*worker, run);
-        worker->earlier_starts.erase(run);
         worker->progress_by_run.erase(run);
     }
 }
--- a/tests/daemon/replication_test.cpp
+++ b/tests/daemon/replication_test.cpp
@@ -27,6 +27,7 @@
         CPPUNIT_ASSERT(message.ParseFromString(bytes));
         m_sent.emplace_back(to, std::move(message));
     }
+    [[nodiscard]] bool is_connected(const base::node_id&) const override { return true; }
 
     [[nodiscard]] std::size_t proposals() const
     {
--- a/tests/jobs/random_cell_test.cpp
+++ b/tests/jobs/random_cell_test.cpp
@@ -54,6 +54,7 @@
         return;
     case 5:
         cell.settings.apply_late = cell.random.chance(0.5) ? 0.06 : 0;
+        cell.settings.apply_hold_late = cell.settings.apply_late;
         return;
     case 6:
         cell.settings.lose_answer = cell.random.chance(0.5) ? 0.1 : 0;
@@ -66,7 +67,8 @@
 
 void clear_faults(sim_cell& cell)
 {
-    cell.settings.apply_late = cell.settings.lose_answer = cell.settings.lose_request = 0;
+    cell.settings.apply_late = cell.settings.apply_hold_late = 0;
+    cell.settings.lose_answer = cell.settings.lose_request = 0;
     for (auto& [id, worker] : cell.workers) {
         worker.is_partitioned = worker.fails_all = worker.hangs = false;
     }
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -14,6 +14,7 @@
 constexpr auto order_timeout = 700ms;
 constexpr auto stop_time = 200ms;
 constexpr std::int64_t worker_millicores = 64'000;
+constexpr std::uint64_t tokens_per_term = 1'000'000;
 
 } // namespace
 
@@ -185,7 +186,8 @@
     ++m_term;
     coordinator_settings chosen;
     leading_since = now;
-    leader = std::make_unique<coordinator>(chosen, records, fencing_token{m_term}, now, wall());
+    leader = std::make_unique<coordinator>(chosen, records, fencing_token{m_term * tokens_per_term},
+                                           now, wall());
     leader->on_catalog(config);
     for (std::uint32_t agent = 0; agent < settings.agents; ++agent) {
         leader->on_agent_contact(now, base::node_id{absl::StrCat("e", agent)});
@@ -280,15 +282,7 @@
         const bool is_reached =
             found != workers.end() && found->second.is_up && !found->second.is_partitioned;
         if (is_late && is_reached) {
-            // The worker's process queues the order, which is lost when the process ends.
-            schedule(now + std::chrono::milliseconds{random.between(2'000, 12'000)},
-                     [this, to, carry_out, started_at = found->second.info.started_at] {
-                         const auto later = workers.find(to.worker);
-                         if (later != workers.end() &&
-                             later->second.info.started_at == started_at) {
-                             carry_out(&later->second);
-                         }
-                     });
+            deliver_late(to, [carry_out](sim_worker& worker) { carry_out(&worker); });
             return;
         }
         if (is_reached) {
@@ -311,6 +305,28 @@
     }
 }
 
+void sim_cell::deliver_late(const worker_address& to,
+                            const std::function<void(sim_worker&)>& carry_out)
+{
+    const auto lateness = [](base::duration bound) {
+        return static_cast<std::uint64_t>(std::chrono::duration_cast<milliseconds>(bound).count());
+    };
+    const std::chrono::milliseconds delay{
+        random.between(lateness(settings.least_delay), lateness(settings.longest_delay))};
+    schedule(now + delay, [this, to, carry_out] {
+        const auto found = workers.find(to.worker);
+        if (found == workers.end() || !found->second.is_up) {
+            return;
+        }
+        // Until the leader has called a new process, nothing tells it from the earlier one, and it
+        // carries out whatever arrives. No leader can prevent that.
+        const bool is_same_process = found->second.info.started_at == to.started_at;
+        if (is_same_process || found->second.fence != 0) {
+            carry_out(found->second);
+        }
+    });
+}
+
 void sim_cell::send(const start_order& order)
 {
     auto outcome = std::make_shared<start_outcome>(start_outcome::unknown);
@@ -360,6 +376,7 @@
 
 void sim_cell::send(const hold_order& order)
 {
+    direct_holds += order.is_direct ? 1 : 0;
     schedule(now + delay(), [this, order, sent = now, generation = m_generation] {
         const auto found = workers.find(order.to.worker);
         const auto life =
@@ -400,6 +417,16 @@
         schedule(now + hold_timeout, [=] { reply(hold_outcome::unknown, {}); });
         return;
     }
+    if (!hold.is_connected && settings.apply_hold_late > 0 &&
+        random.chance(settings.apply_hold_late)) {
+        deliver_late(order.to, [this, order](sim_worker& late) {
+            advance(late);
+            hold_answer unread;
+            carry_out(late, order, unread);
+        });
+        schedule(now + order.wait + hold_timeout, [=] { reply(hold_outcome::unknown, {}); });
+        return;
+    }
     advance(worker);
     if (!hold.is_connected && order.deadline && order.token.value() >= worker.fence) {
         // The lease is extended when the hold arrives, not when it is answered.
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -62,7 +62,10 @@
     std::uint32_t workers = 8;
     double lose_request = 0; ///< probability for each order, like those below
     double lose_answer = 0;
-    double apply_late = 0;             ///< an order is carried out 2 to 12 s later
+    double apply_late = 0;           ///< a start or stop is carried out seconds later
+    double apply_hold_late = 0;      ///< a hold is carried out seconds later
+    base::duration least_delay = 2s; ///< of late orders
+    base::duration longest_delay = 12s;
     double fail_run = 0;               ///< the task itself fails
     bool with_advice = false;          ///< workers refuse starts without a ticket
     std::uint32_t agents = 4;          ///< hosts that call the advice service
@@ -90,7 +93,8 @@
     bool has_faults = false;
     /// Tasks that end the process of each worker that starts them, and how long after the start.
     std::map<task_key, base::duration> crashing_tasks;
-    std::uint64_t crashes = 0; ///< caused by `crashing_tasks`
+    std::uint64_t crashes = 0;      ///< caused by `crashing_tasks`
+    std::uint64_t direct_holds = 0; ///< holds that no other process may pass on
 
     [[nodiscard]] base::wall_time wall() const;
     void add_worker(const std::string& id);
@@ -148,6 +152,9 @@
     /// Delivers an order to its worker and the answer back, with the faults of the settings.
     void deliver(const worker_address& to, const std::function<void(sim_worker*)>& carry_out,
                  const std::function<void(bool)>& answer);
+    /// Carries out an order that reached a worker, or a process that passes orders on, after a
+    /// delay, whatever process of the worker runs then.
+    void deliver_late(const worker_address& to, const std::function<void(sim_worker&)>& carry_out);
     void extend_lease(sim_worker& worker, worker_time deadline) const;
     start_outcome carry_out(sim_worker& worker, const start_order& order);
     hold_outcome carry_out(sim_worker& worker, const hold_order& order, hold_answer& out);
--- a/tests/jobs/worker_table_test.cpp
+++ b/tests/jobs/worker_table_test.cpp
@@ -72,6 +72,9 @@
     CPPUNIT_TEST(worker_silent_under_suspected_task_counts_as_possible_crash);
     CPPUNIT_TEST(worker_leaves_its_tasks_are_not_suspected);
     CPPUNIT_TEST(worker_restarted_task_runs_again_at_once);
+    CPPUNIT_TEST(worker_restarted_late_start_is_refused);
+    CPPUNIT_TEST(worker_restarted_late_hold_extends_no_lease);
+    CPPUNIT_TEST(worker_restarted_first_hold_is_direct);
     CPPUNIT_TEST(worker_cut_off_by_resets_tasks_run_once);
     CPPUNIT_TEST(worker_process_ended_task_runs_elsewhere_at_once);
     CPPUNIT_TEST(worker_restarted_unregistered_gets_no_tasks);
@@ -220,6 +223,65 @@
         CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, only_task(cell).attempt);
     }
 
+    // A start gets no answer, the task runs elsewhere, and the worker restarts under its id before
+    // the start arrives. Guards against a second run of the task there (review/6).
+    void worker_restarted_late_start_is_refused()
+    {
+        sim_cell cell{13, {.workers = 3, .least_delay = 8s, .longest_delay = 8s}};
+        // The deadline of the start is then far ahead on the clock of the next process.
+        cell.run_for(20s);
+        cell.settings.apply_late = 1;
+        cell.submit(long_job());
+        cell.run_for(50ms);
+        const auto first = only_task(cell).worker;
+        cell.settings.apply_late = 0;
+        cell.run_for(1s);
+        CPPUNIT_ASSERT(only_task(cell).attempt > 1);
+        cell.restart_worker(first, true);
+        cell.run_for(6s);
+        CPPUNIT_ASSERT(only_task(cell).worker != first);
+        cell.run_for(6s);
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(),
+                               cell.violations.empty());
+    }
+
+    // A hold gets no answer, and the worker restarts under its id, gets a task and is cut off
+    // before the hold arrives. Guards against a lease that outlasts the leader's estimate, because
+    // the deadline of the hold was meant for the clock of the earlier process.
+    void worker_restarted_late_hold_extends_no_lease()
+    {
+        sim_cell cell{14, {.workers = 1, .least_delay = 7s, .longest_delay = 7s}};
+        cell.run_for(20s);
+        const auto id = cell.workers.begin()->first;
+        cell.settings.apply_hold_late = 1;
+        cell.run_for(1200ms);
+        cell.settings.apply_hold_late = 0;
+        cell.replace_worker(id, 100ms);
+        cell.submit(long_job());
+        cell.run_for(2s);
+        auto& worker = cell.workers.at(id);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, worker.runs.size());
+        worker.is_partitioned = true;
+        const auto attempt = only_task(cell).attempt;
+        cell.add_worker("w1");
+        cell.run_for(12s);
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(),
+                               cell.violations.empty());
+        CPPUNIT_ASSERT_EQUAL(attempt + 1, only_task(cell).attempt);
+    }
+
+    // Guards against a first hold to a new process that waits behind the starts of the earlier one,
+    // where calls are relayed.
+    void worker_restarted_first_hold_is_direct()
+    {
+        sim_cell cell{16, {.workers = 3}};
+        cell.run_for(1s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cell.direct_holds);
+        cell.replace_worker(cell.workers.begin()->first, 100ms);
+        cell.run_for(5s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, cell.direct_holds);
+    }
+
     // A network that resets all connections to a worker looks as if nothing listened there. Guards
     // against taking that for the end of the worker's process and starting its tasks elsewhere
     // while they run (kowhai-desk, node_cut with how = "servers reset").
