Let checks acknowledge no ends

A task that had ended `done` was run again.

Cause: while a hold is open, a check reads the worker's lists. It carried the cursor of the instance that the leader knew. If the worker had restarted unnoticed (its hold was held up, so that no connection was closed) and had ended tasks since, the check made it forget ends that nobody had read, and the leader took these runs for crashed.

A check now acknowledges nothing; the hold that follows does. The open hold is the only call that can miss a restart: one that ends without an answer is followed by a hold that acknowledges nothing either.

worker_restarted_unnoticed_check_acknowledges_no_end fails without the change ("attempt 1 was done at 4160 ms and its end is acknowledged", started again at 7,126 ms).

--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -197,6 +197,8 @@
     }
     auto order = make_hold(worker, now);
     order.is_check = true;
+    // While a hold is open, the worker may have restarted unnoticed and have ended tasks since.
+    order.cursor = 0;
     m_out.holds.push_back(std::move(order));
 }
 
--- a/tests/jobs/worker_table_test.cpp
+++ b/tests/jobs/worker_table_test.cpp
@@ -75,6 +75,7 @@
     CPPUNIT_TEST(worker_restarted_late_start_is_refused);
     CPPUNIT_TEST(worker_restarted_late_hold_extends_no_lease);
     CPPUNIT_TEST(worker_restarted_first_hold_is_direct);
+    CPPUNIT_TEST(worker_restarted_unnoticed_check_acknowledges_no_end);
     CPPUNIT_TEST(worker_cut_off_by_resets_tasks_run_once);
     CPPUNIT_TEST(worker_process_ended_task_runs_elsewhere_at_once);
     CPPUNIT_TEST(worker_restarted_unregistered_gets_no_tasks);
@@ -282,6 +283,33 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, cell.direct_holds);
     }
 
+    // While a hold gets no answer, the worker restarts under its id and is given a task, which it
+    // ends. Guards against a check that acknowledges this end with the count of the earlier
+    // process, so that the task runs again (jobs_test --seed 110).
+    void worker_restarted_unnoticed_check_acknowledges_no_end()
+    {
+        sim_cell cell{15, {.workers = 1, .least_delay = 8s, .longest_delay = 8s}};
+        cell.submit(simple_job(1, 4, 1'000));
+        cell.run_for(3s);
+        cell.settings.apply_hold_late = 1;
+        cell.run_for(1100ms);
+        cell.settings.apply_hold_late = 0;
+        cell.replace_worker(cell.workers.begin()->first, 3s);
+        auto quick = simple_job(2, 1, 1'000);
+        quick.steps[0].estimate = 40ms;
+        cell.submit(quick);
+        cell.run_for(100ms);
+        cell.settings.lose_answer = 1;
+        cell.submit(simple_job(3, 1, 1'000));
+        cell.run_for(400ms);
+        cell.settings.lose_answer = 0;
+        cell.run_for(10s);
+        cell.check_acknowledged_ends();
+        CPPUNIT_ASSERT_MESSAGE(cell.violations.empty() ? "" : cell.violations.front(),
+                               cell.violations.empty());
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+    }
+
     // A network that resets all connections to a worker looks as if nothing listened there. Guards
     // against taking that for the end of the worker's process and starting its tasks elsewhere
     // while they run (kowhai-desk, node_cut with how = "servers reset").
