Hold orders up in the soak, beyond the end of a worker's process

Change: delay_orders leaves a part of the orders to a worker unanswered and carries them out 2 to 12 s later, whatever process runs then, once the leader has called it.

--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -5,6 +5,7 @@
 """
 
 import json
+import random
 import threading
 import time
 from http.server import BaseHTTPRequestHandler, ThreadingHTTPServer
@@ -12,6 +13,7 @@
 STOP_DELAY_SECONDS = 0.1
 GANG_SECONDS = 3.0
 MAX_LEASE_MS = 6000
+LATE_ORDER_SECONDS = (2.0, 12.0)
 
 
 def now_ms():
@@ -73,6 +75,7 @@
         self.checker, self.capacity = checker, capacity
         self.lock = threading.Condition()
         self.is_up = False
+        self.late_share = 0.0  # of the orders, which stay unanswered and are carried out seconds later
         self.server = None
         self.begin_instance()
 
@@ -100,6 +103,12 @@
 
             def do_POST(self):
                 body = json.loads(self.rfile.read(int(self.headers.get("Content-Length", 0))))
+                if random.random() < worker.late_share:
+                    late = random.uniform(*LATE_ORDER_SECONDS)
+                    threading.Timer(late, worker.carry_out_late, (self.path, body, worker.started_at)).start()
+                    time.sleep(late)
+                    self.close_connection = True
+                    return
                 status, answer = worker.handle_request(self.path, body)
                 if not worker.is_up:
                     self.close_connection = True
@@ -172,6 +181,14 @@
                 return self.hold(body)
             return 404, {}
 
+    def carry_out_late(self, path, body, started_at):
+        """Carries out an order that was held up on its way, whatever process of the worker runs by now."""
+        with self.lock:
+            # Before the leader's first call, nothing tells a new process from the earlier one.
+            is_reachable = started_at == self.started_at or self.fence > 0
+        if self.is_up and is_reachable:
+            self.handle_request(path, dict(body, waitMs=0))
+
     def start(self, body):
         task, attempt = body["task"], body["attempt"]
         answer = {"clockMs": self.clock()}
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -111,6 +111,7 @@
         self.core_fault_lock = threading.Lock()  # at most one core process is faulty at a time
         self.accepted, self.refused, self.open_jobs = {}, {}, set()
         self.job_states, self.pending = {}, {}
+        self.cancel_sent = set()  # jobs that may be cancelled, with or without an answer
         self.service = f"{options.seed:016x}"
         self.lock = threading.Lock()
         self.hosts = [Host(self, i + 1) for i in range(options.hosts)]
@@ -200,6 +201,7 @@
                 elif all(status in (429, 503) for status in outcomes):
                     self.refused[job] = outcomes
             if outcomes[-1] == 200 and rng.random() < 0.1 and connection is not None:
+                self.cancel_sent.add(job)
                 if self.send(connection, "DELETE", job, None) == 200:
                     self.checker.cancelled[job] = time.monotonic()
             time.sleep(rng.uniform(0.05, 0.6))
@@ -259,7 +261,7 @@
     def fault_loop(self):
         kinds = [self.kill_core, self.pause_core, self.stop_core, self.wipe_core, self.kill_entry,
                  self.stop_entry, self.reload, self.crash_worker, self.cut_worker,
-                 self.disturb_connections]
+                 self.disturb_connections, self.delay_orders]
         end = time.monotonic() + self.options.seconds
         while time.monotonic() < end:
             kind = self.random.choice(kinds)
@@ -352,6 +354,16 @@
         else:
             proxy.blackhole_all()
 
+    def delay_orders(self):
+        worker = self.random.choice(self.workers)
+        worker.late_share = self.random.uniform(0.05, 0.5)
+        time.sleep(self.random.uniform(1, 6))
+        if self.random.random() < 0.5:
+            worker.crash()
+            time.sleep(self.random.uniform(0.1, 3))
+            worker.restart()
+        worker.late_share = 0.0
+
     # Main sequence and final checks.
 
     def run(self):
@@ -394,9 +406,9 @@
         for job in waiting:
             self.checker.report_violation(f"LOST {job} is {states.get(job)}")
         for job, state in states.items():
-            if state == "cancelled" and job not in self.checker.cancelled:
-                # A cancel may have been carried out although its response was lost.
-                continue
+            # A cancel may have been carried out although its response was lost.
+            if state == "cancelled" and job not in self.cancel_sent:
+                self.checker.report_violation(f"LOST {job} is reported as cancelled, but nobody cancelled it")
             if state == "failed":
                 self.checker.report_violation(f"LOST {job} is reported as failed, but no task fails here")
         started = {task.split(".")[0] for task in self.checker.running}
@@ -423,7 +435,9 @@
                 due = {job for job, when in self.accepted.items() if time.monotonic() - when > 5}
             status = self.call_entry(host, "GET", "", None)
             begun = {task.split(".")[0] for task in list(self.checker.running)}
-            waiting = len(due - begun - set(self.checker.cancelled))
+            cancelled = {job for job in self.cancel_sent
+                         if job in self.checker.cancelled or self.job_states.get(job) == "cancelled"}
+            waiting = len(due - begun - cancelled)
             if status == 200 and self.pending[""] < waiting / 2:
                 self.checker.report_violation(f"MIXED host{host.number} counts {self.pending['']} jobs as pending, but "
                                               f"{waiting} haven't begun")
