Decide nothing while decisions of before may still be committed

No disk of the group finished a sync for 37 s; the leader kept its lease and its term.

Cause: after 10 s without a commit the coordinator is replaced. Its decisions stay in the log. The next one plans with the records as they are, without them, and is replaced too; when the disks go on, the decisions of all of them are committed within a millisecond, and the starts go out. The log shows four coordinators of term 2 (leading token=, ...736, ...744, ...752) and the placements and ends of several of them applied at 22:43:41.407.

A coordinator is now created only once every proposal of this term that timed out is decided (replication::has_undecided_proposals). Callers are refused meanwhile, as without a leader: nothing could be accepted anyway.

propose_timed_out_on_slow_disk_is_undecided_until_applied guards the mark: the leader is established all the while, which is what let the next coordinator begin. Not shown: the whole course again, as the disks of this machine stall when they like. A leader in a later term isn't affected: it begins once everything before it is applied.

--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -224,7 +224,10 @@
         update_relays();
     }
     m_worker_port.tick(now);
-    if (m_log.is_established_leader(now) && !m_is_stopped) {
+    // A coordinator that was replaced may have decisions that aren't committed yet. Until they are,
+    // the next one doesn't know what is booked.
+    const bool may_lead = m_coordinator || !m_log.has_undecided_proposals();
+    if (m_log.is_established_leader(now) && may_lead && !m_is_stopped) {
         start_leading(now);
         m_callers.tick(now);
         record_cores(now);
--- a/src/daemon/replication.cpp
+++ b/src/daemon/replication.cpp
@@ -48,6 +48,11 @@
            m_contact.lease_valid_until && now < *m_contact.lease_valid_until;
 }
 
+bool replication::has_undecided_proposals() const
+{
+    return m_undecided_term == m_replica->current_term() && m_applied < m_undecided_up_to;
+}
+
 consensus::request_tag replication::next_tag()
 {
     return consensus::request_tag{++m_last_tag};
@@ -395,6 +400,10 @@
             expired.push_back(tag);
         }
     }
+    if (!expired.empty()) {
+        m_undecided_up_to = m_replica->last_index();
+        m_undecided_term = m_replica->current_term();
+    }
     for (const auto tag : expired) {
         finish_proposal(tag,
                         make_error(error_code::timed_out, "the command wasn't committed in time"));
--- a/src/daemon/replication.h
+++ b/src/daemon/replication.h
@@ -98,6 +98,9 @@
     /// Returns whether this host is the leader, its lease is valid at `now`, and it has applied
     /// everything that earlier leaders committed.
     [[nodiscard]] bool is_established_leader(base::time_point now) const;
+    /// Returns whether a command that was proposed in the current term and whose `done` got
+    /// `timed_out` may still be applied.
+    [[nodiscard]] bool has_undecided_proposals() const;
     [[nodiscard]] std::uint64_t applied_index() const { return m_applied.value(); }
     [[nodiscard]] const digest_history& digests() const { return m_digests; }
 
@@ -163,6 +166,9 @@
     std::map<consensus::request_tag, pending_proposal> m_proposals;
     std::map<consensus::request_tag, pending_read> m_reads;
     std::map<consensus::log_index, accepted_proposal> m_accepted_proposals;
+    /// End of the log when a proposal last timed out, and the term then.
+    consensus::log_index m_undecided_up_to;
+    consensus::term m_undecided_term;
     std::vector<consensus::proposal> m_local_proposals;
     std::vector<consensus::request_tag> m_local_reads;
 };
--- a/tests/daemon/replication_test.cpp
+++ b/tests/daemon/replication_test.cpp
@@ -100,6 +100,7 @@
     CPPUNIT_TEST_SUITE(replication_test);
     CPPUNIT_TEST(propose_on_leader_is_done_only_once_durable);
     CPPUNIT_TEST(propose_without_leader_times_out);
+    CPPUNIT_TEST(propose_timed_out_on_slow_disk_is_undecided_until_applied);
     CPPUNIT_TEST(read_on_leader_sees_the_applied_command);
     CPPUNIT_TEST(read_without_leader_fails_as_no_quorum);
     CPPUNIT_TEST_SUITE_END();
@@ -167,6 +168,26 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{0}, m_sender.proposals());
     }
 
+    // Guards against decisions that are made again while those of before may still be committed, so
+    // that workers get more than they have room for (soak.py --seed 804).
+    void propose_timed_out_on_slow_disk_is_undecided_until_applied()
+    {
+        const auto log = make({self});
+        advance(*log, 2s, true);
+        absl::Status status;
+        log->propose_as_leader(m_now, any_command(), m_now + 1s,
+                               [&status](const auto& result) { status = result.status(); });
+        advance(*log, 500ms, false);
+        CPPUNIT_ASSERT(!log->has_undecided_proposals());
+        advance(*log, 1s, false);
+        CPPUNIT_ASSERT(base::has_code(status, base::error_code::timed_out));
+        CPPUNIT_ASSERT(log->is_established_leader(m_now));
+        CPPUNIT_ASSERT(log->has_undecided_proposals());
+        advance(*log, 100ms, true);
+        CPPUNIT_ASSERT(log->state().find_target(base::target_id{"t"}) != nullptr);
+        CPPUNIT_ASSERT(!log->has_undecided_proposals());
+    }
+
     void read_on_leader_sees_the_applied_command()
     {
         const auto log = make({self});
