--- a/src/controlplane/worker_relay.h
+++ b/src/controlplane/worker_relay.h
@@ -16,10 +16,10 @@
 namespace lovagebeam::controlplane {
 
 /// Distributes the leader's calls to workers over the other core processes, whose processors are
-/// idle. All calls to one worker go through the same process. An order that is lost on the way has
-/// an unknown outcome, like one whose answer from the worker is lost. With few workers the leader
-/// calls them itself. Not thread-safe; used on the decisions thread only, where the callbacks of
-/// relayed orders also run.
+/// idle. All calls to one worker go through the same process, except direct holds. An order that is
+/// lost on the way has an unknown outcome, like one whose answer from the worker is lost. With few
+/// workers the leader calls them itself. Not thread-safe; used on the decisions thread only, where
+/// the callbacks of relayed orders also run.
 class worker_relay final : public worker_port {
 public:
     /// The arguments must outlive this object.
