Give each priority a share of the agents for long advice calls

Cause: calls to the advice service went out strictly by priority. On the deployment with scarce capacity, wide steps of priority 1 took all agents for long calls, and steps of priority 2 got no tickets for as long as the load lasted, while a fifth of the fleet was free.

Change: each priority with queued long calls has a quarter of the agents that aren't reserved for short calls; what a priority doesn't ask for is lent. Steps that have expired have no share.

--- a/include/lovagebeam/jobs/advice_scheduler.h
+++ b/include/lovagebeam/jobs/advice_scheduler.h
@@ -3,6 +3,7 @@
 #include "lovagebeam/jobs/orders.h"
 
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <set>
@@ -34,6 +35,9 @@
     milliseconds long_call{60};
     /// Fraction of the agents that is reserved for short calls, at least one agent.
     double reserved_fraction = 0.25;
+    /// Fraction of the other agents that each priority with queued long calls gets at least.
+    /// Without tickets its steps can't use the workers that are free, however many there are.
+    double min_priority_fraction = 0.25;
     /// An agent without contact for this long gets no calls.
     milliseconds agent_timeout{1'500};
     /// How long a call may exceed its expected duration before it is abandoned.
@@ -127,6 +131,7 @@
         milliseconds validity{};
         base::node_id agent;
         base::time_point deadline;
+        std::uint32_t priority = 0; ///< that it was sent with
     };
     struct agent_state {
         base::time_point last_contact;
@@ -134,8 +139,34 @@
         base::time_point paused_until;
     };
     using queue_rank = std::pair<call_rank, std::uint64_t>;
+    using call_queue = std::map<queue_rank, call>;
+    /// The agents that can be called now, and the limits for long calls.
+    struct agent_pool {
+        std::vector<std::pair<const base::node_id, agent_state>*> idle;
+        std::size_t reserved = 0;       ///< of the idle ones, for short calls
+        std::size_t priority_share = 0; ///< least number of long calls of each priority
+    };
 
-    agent_state* idle_agent(base::time_point now, bool is_long, const base::node_id*& name);
+    static std::uint32_t priority_of(const queue_rank& rank) { return std::get<0>(rank.first); }
+    /// Whether the rank is that of calls about expired steps, which have no share of the agents.
+    static bool is_expired(std::uint32_t priority)
+    {
+        return priority == std::numeric_limits<std::uint32_t>::max();
+    }
+    [[nodiscard]] bool is_long(const call& waiting) const
+    {
+        return waiting.expected > m_settings.long_call;
+    }
+    call_queue& queue_for(const call& waiting) { return is_long(waiting) ? m_long : m_short; }
+    void abandon_overdue_calls(base::time_point now);
+    agent_pool idle_agents(base::time_point now);
+    void send_long_calls(base::time_point now, agent_pool& agents, std::vector<advice_order>& out);
+    /// The first entry of `m_long` of the next priority after `priority`.
+    call_queue::iterator next_priority(std::uint32_t priority);
+    /// Number of agents that the shares of the other priorities with queued long calls lack.
+    std::size_t owed_to_others(std::uint32_t priority, std::size_t share);
+    call_queue::iterator send(base::time_point now, call_queue& queue, call_queue::iterator waiting,
+                              agent_pool& agents, std::vector<advice_order>& out);
     void end_call(std::map<std::uint64_t, call>::iterator which);
     /// Adds an answer to the mean fraction. `rows` are the workers allowed among those of the call.
     void update_allowed_fraction(const step_advice& known, const call& answered,
@@ -143,8 +174,10 @@
 
     advice_settings m_settings;
     std::map<step_key, step_advice> m_steps;
-    std::map<queue_rank, call> m_waiting;
+    call_queue m_short;
+    call_queue m_long;
     std::map<std::uint64_t, call> m_calls;
+    std::map<std::uint32_t, std::size_t> m_open_long; ///< number of open calls of each priority
     std::map<base::node_id, agent_state> m_agents;
     std::uint64_t m_last_id = 0;
     double m_allowed_fraction = 0.5;
--- a/src/jobs/advice_scheduler.cpp
+++ b/src/jobs/advice_scheduler.cpp
@@ -33,7 +33,8 @@
         next.validity = policy.ticket_validity;
         next.workers.assign(from, from + static_cast<std::ptrdiff_t>(count));
         from += static_cast<std::ptrdiff_t>(count);
-        m_waiting.emplace(queue_rank{rank, ++m_last_id}, std::move(next));
+        auto& queue = queue_for(next);
+        queue.emplace(queue_rank{rank, ++m_last_id}, std::move(next));
         ++known.open_calls;
     }
 }
@@ -43,44 +44,44 @@
     if (!is_call_open(step)) {
         return;
     }
-    std::vector<queue_rank> queued;
-    for (const auto& [place, waiting] : m_waiting) {
-        if (waiting.step == step) {
-            queued.push_back(place);
+    for (auto* const queue : {&m_short, &m_long}) {
+        std::vector<queue_rank> queued;
+        for (const auto& [place, waiting] : *queue) {
+            if (waiting.step == step) {
+                queued.push_back(place);
+            }
+        }
+        for (const auto& place : queued) {
+            auto moved = queue->extract(place);
+            moved.key().first = rank;
+            queue->insert(std::move(moved));
         }
-    }
-    for (const auto& place : queued) {
-        auto moved = m_waiting.extract(place);
-        moved.key().first = rank;
-        m_waiting.insert(std::move(moved));
     }
 }
 
-advice_scheduler::agent_state* advice_scheduler::idle_agent(base::time_point now, bool is_long,
-                                                            const base::node_id*& name)
+advice_scheduler::agent_pool advice_scheduler::idle_agents(base::time_point now)
 {
-    agent_state* idle = nullptr;
+    agent_pool out;
     std::size_t alive = 0;
-    std::size_t idle_count = 0;
-    for (auto& [id, agent] : m_agents) {
-        if (now - agent.last_contact >= m_settings.agent_timeout) {
+    for (auto& each : m_agents) {
+        if (now - each.second.last_contact >= m_settings.agent_timeout) {
             continue;
         }
         ++alive;
-        if (agent.call == 0 && now >= agent.paused_until) {
-            ++idle_count;
-            idle = &agent;
-            name = &id;
+        if (each.second.call == 0 && now >= each.second.paused_until) {
+            out.idle.push_back(&each);
         }
     }
-    const auto reserved =
-        std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(
-                                     static_cast<double>(alive) * m_settings.reserved_fraction)));
-    const bool is_reserved = is_long && alive > 1 && idle_count <= reserved;
-    return is_reserved ? nullptr : idle;
+    const auto part = [](std::size_t whole, double fraction) {
+        return std::max<std::size_t>(
+            1, static_cast<std::size_t>(std::lround(static_cast<double>(whole) * fraction)));
+    };
+    out.reserved = alive > 1 ? part(alive, m_settings.reserved_fraction) : 0;
+    out.priority_share = part(alive - out.reserved, m_settings.min_priority_fraction);
+    return out;
 }
 
-std::vector<advice_order> advice_scheduler::take(base::time_point now)
+void advice_scheduler::abandon_overdue_calls(base::time_point now)
 {
     for (auto entry = m_calls.begin(); entry != m_calls.end();) {
         const auto current = entry++;
@@ -89,34 +90,85 @@
             end_call(current);
         }
     }
+}
+
+std::vector<advice_order> advice_scheduler::take(base::time_point now)
+{
+    abandon_overdue_calls(now);
     std::vector<advice_order> out;
-    bool takes_long_calls = true;
-    for (auto waiting = m_waiting.begin(); waiting != m_waiting.end();) {
-        const bool is_long = waiting->second.expected > m_settings.long_call;
-        if (is_long && !takes_long_calls) {
-            ++waiting;
-            continue;
-        }
-        const base::node_id* name = nullptr;
-        auto* const agent = idle_agent(now, is_long, name);
-        if (agent == nullptr && !is_long) {
-            break;
+    if (m_short.empty() && m_long.empty()) {
+        return out;
+    }
+    auto agents = idle_agents(now);
+    for (auto waiting = m_short.begin(); waiting != m_short.end() && !agents.idle.empty();) {
+        waiting = send(now, m_short, waiting, agents, out);
+    }
+    send_long_calls(now, agents, out);
+    return out;
+}
+
+// Priorities take what their shares and those of the others leave, the most urgent one first. A
+// share that isn't asked for is left to the others.
+void advice_scheduler::send_long_calls(base::time_point now, agent_pool& agents,
+                                       std::vector<advice_order>& out)
+{
+    for (auto waiting = m_long.begin(); waiting != m_long.end();) {
+        const auto priority = priority_of(waiting->first);
+        while (waiting != m_long.end() && priority_of(waiting->first) == priority) {
+            if (agents.idle.size() <= agents.reserved) {
+                return;
+            }
+            const bool has_share =
+                !is_expired(priority) && m_open_long[priority] < agents.priority_share;
+            const auto available = agents.idle.size() - agents.reserved;
+            if (!has_share && available <= owed_to_others(priority, agents.priority_share)) {
+                break;
+            }
+            waiting = send(now, m_long, waiting, agents, out);
         }
-        if (agent == nullptr) {
-            takes_long_calls = false;
-            ++waiting;
-            continue;
+        waiting = next_priority(priority);
+    }
+}
+
+advice_scheduler::call_queue::iterator advice_scheduler::next_priority(std::uint32_t priority)
+{
+    return is_expired(priority)
+               ? m_long.end()
+               : m_long.lower_bound(
+                     {call_rank{priority + 1, false, std::numeric_limits<std::int64_t>::min()}, 0});
+}
+
+std::size_t advice_scheduler::owed_to_others(std::uint32_t priority, std::size_t share)
+{
+    std::size_t owed = 0;
+    for (auto other = m_long.begin(); other != m_long.end();
+         other = next_priority(priority_of(other->first))) {
+        const auto each = priority_of(other->first);
+        if (each != priority && !is_expired(each)) {
+            owed += share - std::min(share, m_open_long[each]);
         }
-        const auto id = waiting->first.second;
-        call next = std::move(waiting->second);
-        waiting = m_waiting.erase(waiting);
-        agent->call = id;
-        next.agent = *name;
-        next.deadline = now + next.expected + m_settings.answer_timeout;
-        out.push_back({id, *name, next.step, next.workers, next.expected});
-        m_calls.emplace(id, std::move(next));
     }
-    return out;
+    return owed;
+}
+
+advice_scheduler::call_queue::iterator
+advice_scheduler::send(base::time_point now, call_queue& queue, call_queue::iterator waiting,
+                       agent_pool& agents, std::vector<advice_order>& out)
+{
+    const auto id = waiting->first.second;
+    auto& [name, agent] = *agents.idle.back();
+    agents.idle.pop_back();
+    call next = std::move(waiting->second);
+    next.priority = priority_of(waiting->first);
+    next.agent = name;
+    next.deadline = now + next.expected + m_settings.answer_timeout;
+    if (is_long(next)) {
+        ++m_open_long[next.priority];
+    }
+    agent.call = id;
+    out.push_back({id, name, next.step, next.workers, next.expected});
+    m_calls.emplace(id, std::move(next));
+    return queue.erase(waiting);
 }
 
 void advice_scheduler::end_call(std::map<std::uint64_t, call>::iterator which)
@@ -127,6 +179,9 @@
     if (const auto known = m_steps.find(which->second.step); known != m_steps.end()) {
         --known->second.open_calls;
     }
+    if (is_long(which->second)) {
+        --m_open_long[which->second.priority];
+    }
     m_calls.erase(which);
 }
 
