--- a/include/lovagebeam/jobs/candidate_list.h
+++ b/include/lovagebeam/jobs/candidate_list.h
@@ -23,6 +23,7 @@
         size planned;  ///< decided or reserved, not yet in the ledger
         bool is_usable = false;
         std::size_t pool = 0;
+        std::size_t index = 0; ///< in the list of all entries
     };
     struct pool_total {
         std::string name;
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -5,6 +5,7 @@
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
 #include "lovagebeam/jobs/worker_table.h"
+#include "lovagebeam/scheduling/capacity_holds.h"
 
 #include "jobs.pb.h"
 
@@ -65,6 +66,9 @@
     /// How long the first confirmed start of a job may wait for a batch to be committed with. The
     /// published count of pending jobs may be 2 s old.
     milliseconds begin_commit_delay{200};
+    /// Largest fraction of the workers that are kept from work of lower priority because a gang
+    /// waits for room there.
+    double max_held_fraction = 0.25;
     /// A scheduled occurrence is not started before its time plus this margin for clock error.
     milliseconds due_margin{20};
 };
@@ -219,6 +223,12 @@
     template <class Visit>
     void for_each_allowed(base::time_point now, const planned_step& step, ticket_rule rule,
                           Visit visit);
+    /// Starts a planning pass without holds for gangs.
+    void begin_holds();
+    /// Holds workers for the step if it is a gang that waits for room and can still be in time.
+    void hold_for_gang(base::time_point now, const step_key& key);
+    /// The size of all tasks of the step that aren't done.
+    static jobs::size total_size(const planned_step& step);
     /// Plans the steps about which the advice service has answered since the last pass.
     void plan_answered_steps(base::time_point now);
     /// Returns whether no task of the step could be placed for lack of capacity.
@@ -233,6 +243,10 @@
     /// and its account.
     std::vector<candidate_worker*> eligible_workers(base::time_point now, const planned_step& step,
                                                     ticket_rule rule, const std::string* rack);
+    /// The candidates that one task of the step could run on if they ran nothing else, with a valid
+    /// ticket or without.
+    std::vector<const candidate_worker*> suitable_workers(base::time_point now,
+                                                          const planned_step& step);
     /// Whether one task of the step fits on the candidate now.
     static bool accepts(const planned_step& step, const candidate_worker& candidate,
                         const std::map<base::worker_id, std::uint32_t>& counts);
@@ -315,6 +329,8 @@
     std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
     std::map<base::worker_id, isolation> m_isolated;
     candidate_list m_candidates;
+    scheduling::capacity_holds m_holds;
+    std::uint32_t m_lowest_priority = 0; ///< of the ready steps that haven't expired
     base::time_point m_next_plan;
     proto::jobs::Batch m_batch;
     std::uint64_t m_last_batch = 0;
--- a/src/jobs/candidate_list.cpp
+++ b/src/jobs/candidate_list.cpp
@@ -68,6 +68,7 @@
     auto& known = m_by_id[id];
     if (known == nullptr) {
         known = &m_candidates.emplace_back();
+        known->index = m_candidates.size() - 1;
     }
     return *known;
 }
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -33,7 +33,7 @@
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
-      m_advice{settings.advice}, m_last_forget{now}
+      m_advice{settings.advice}, m_holds{settings.planner.max_held_fraction}, m_last_forget{now}
 {
     for (const auto id : records.open_jobs()) {
         const auto& job = *records.find(id);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -78,6 +78,7 @@
         return;
     }
     m_candidates.begin_pass();
+    begin_holds();
     plan_answered_steps(now);
     std::uint32_t unplaceable = 0;
     std::optional<std::pair<bool, std::uint32_t>> level;
@@ -100,6 +101,7 @@
         else {
             unplaceable += plan_step(now, key) ? 1 : 0;
         }
+        hold_for_gang(now, key);
     }
 }
 
@@ -363,6 +365,7 @@
         const auto& info = *one.info;
         // The comparison that rules out most candidates of a busy fleet comes first.
         if (booked.fits_in(one.free) && info.pool == step.pool &&
+            !m_holds.is_held_from(one.index, step.job.spec.priority) &&
             step.spec.size.fits_in(info.capacity) && (rack == nullptr || info.rack == *rack) &&
             has_label(info, step.spec.required_label)) {
             out.push_back(&one);
@@ -371,6 +374,20 @@
     return out;
 }
 
+std::vector<const coordinator::candidate_worker*>
+coordinator::suitable_workers(base::time_point now, const planned_step& step)
+{
+    std::vector<const candidate_worker*> out;
+    for_each_allowed(now, step, ticket_rule::any, [&](candidate_worker& one) {
+        const auto& info = *one.info;
+        if (info.pool == step.pool && step.spec.size.fits_in(info.capacity) &&
+            has_label(info, step.spec.required_label)) {
+            out.push_back(&one);
+        }
+    });
+    return out;
+}
+
 bool coordinator::accepts(const planned_step& step, const candidate_worker& candidate,
                           const std::map<base::worker_id, std::uint32_t>& counts)
 {
