Evacuate failure domains in the ledger and the coordinator

Cause: nothing kept tasks away from a failure domain that operators want to empty.

The ledger rejects a PlaceTasks that names a worker of an evacuated domain. The coordinator doesn't use these workers, releases what is reserved on them, drops them from queued advice calls, and withdraws committed placements whose start isn't sent, gangs as a whole. A withdrawn start doesn't delay the next attempt of its step.

--- a/include/lovagebeam/jobs/advice_scheduler.h
+++ b/include/lovagebeam/jobs/advice_scheduler.h
@@ -3,6 +3,7 @@
 #include "lovagebeam/jobs/orders.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <optional>
 #include <set>
@@ -73,6 +74,10 @@
     /// Changes the rank of the calls about `step` that are queued.
     void change_rank(const step_key& step, call_rank rank);
 
+    /// Removes the workers for which `is_gone` returns true from the calls that are queued. Calls
+    /// that name no other workers are not made.
+    void drop_queued_workers(const std::function<bool(const base::worker_id&)>& is_gone);
+
     /// Ends the call `id`. Without rows it failed, and nothing is recorded about the workers.
     /// Returns the step, or nothing for an unknown call.
     std::optional<step_key> on_answer(base::time_point now, std::uint64_t id,
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -85,6 +85,8 @@
     std::vector<hold_order> holds;
     std::vector<advice_order> advice;
     std::vector<decision_log_entry> log_entries;
+    /// Number of starts that weren't sent because their worker's failure domain is evacuated.
+    std::uint64_t withheld_starts = 0;
 };
 
 /// The leader's job scheduler: decides which task starts where and when, gets the decision
@@ -178,6 +180,11 @@
         const step_record& record;
         std::string pool;
     };
+    struct evacuation_progress {
+        /// Of the domains' records, as last seen: a repeated order changes nothing.
+        std::map<base::failure_domain, std::uint64_t> revisions;
+        std::set<run_key> withdrawn; ///< the ends of these aren't committed yet
+    };
     /// Whether only workers with a currently valid ticket count as allowed.
     enum class ticket_rule { valid, any };
     /// Whether a step waits for an answer from the advice service.
@@ -204,6 +211,16 @@
     /// own after a while.
     void add_begun_jobs(base::time_point now);
     void add_due_steps(base::wall_time wall);
+    /// An order about the domain was applied to the ledger.
+    void on_evacuation(base::time_point now, const base::failure_domain& domain);
+    /// Releases what is reserved on workers of evacuated domains, and asks no advice about them.
+    void release_evacuated_capacity();
+    /// Withdraws the committed placements in evacuated domains whose start hasn't been sent, with
+    /// the unsent members of their gangs.
+    void withdraw_starts();
+    [[nodiscard]] std::map<run_key, base::worker_id> unsent_runs_in_evacuated_domains() const;
+    void report_withheld_start(const run_key& run, const base::worker_id& worker,
+                               std::string_view why);
     proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
 
     // Planning.
@@ -314,6 +331,7 @@
     std::set<step_key> m_answered; ///< with an answer of the advice service since the last pass
     std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
     std::map<base::worker_id, isolation> m_isolated;
+    evacuation_progress m_evacuation;
     candidate_list m_candidates;
     base::time_point m_next_plan;
     proto::jobs::Batch m_batch;
--- a/include/lovagebeam/jobs/ledger.h
+++ b/include/lovagebeam/jobs/ledger.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "lovagebeam/jobs/crash_attribution.h"
+#include "lovagebeam/jobs/evacuation.h"
 #include "lovagebeam/jobs/model.h"
 
 #include "jobs.pb.h"
@@ -105,6 +106,20 @@
     /// all of them, the seeds may lead to only a part of them.
     [[nodiscard]] const std::set<std::string>& core_addresses() const { return m_cores; }
 
+    /// The failure domains that are evacuated or were.
+    [[nodiscard]] const std::map<base::failure_domain, evacuation_record>& evacuations() const
+    {
+        return m_evacuations;
+    }
+    /// Number of failure domains that are evacuated.
+    [[nodiscard]] std::size_t evacuated_count() const { return m_evacuated.size(); }
+    /// Whether no task may be started in the domain.
+    [[nodiscard]] bool is_evacuated(const base::failure_domain& domain) const;
+    /// Whether the worker is registered in an evacuated domain.
+    [[nodiscard]] bool is_evacuated(const base::worker_id& worker) const;
+    /// Whether a placement names a worker of an evacuated domain. Such an operation is rejected.
+    [[nodiscard]] bool names_evacuated_worker(const proto::jobs::PlaceTasks& operation) const;
+
     [[nodiscard]] std::uint64_t catalog_version() const { return m_catalog_version; }
     [[nodiscard]] const std::string& catalog_document() const { return m_catalog; }
 
@@ -117,6 +132,7 @@
     void apply(const proto::jobs::PutWorker& operation);
     void apply(const proto::jobs::RemoveWorker& operation, base::wall_time now);
     void apply(const proto::jobs::ForgetJobs& operation);
+    void apply(const proto::jobs::PutEvacuation& operation, base::wall_time now);
     void apply_one(const proto::jobs::Operation& operation, base::wall_time now);
 
     /// Whether the ledger has a later report of the worker, or one of a later instance.
@@ -135,6 +151,11 @@
     void index(job_record& job);
     void index_placements(const job_record& job);
     void close_if_released(job_record& job);
+    /// Keeps the number of records of withdrawn evacuations within its limit. That of `latest`
+    /// remains.
+    void drop_oldest_withdrawn_evacuation(const base::failure_domain& latest);
+    void write_evacuations(proto::jobs::Snapshot& out) const;
+    void read_evacuations(const proto::jobs::Snapshot& message);
 
     std::map<job_number, job_record> m_jobs;
     std::map<base::worker_id, worker_info> m_workers;
@@ -147,9 +168,11 @@
     std::uint64_t m_catalog_version = 0;
     std::string m_catalog;
     std::set<std::string> m_cores;
+    std::map<base::failure_domain, evacuation_record> m_evacuations;
     std::uint64_t m_history = 0;
 
     // Derived from the above.
+    std::set<base::failure_domain> m_evacuated; ///< those in force
     std::set<job_number> m_open;
     std::map<base::worker_id, std::set<task_key>> m_placed;
     std::map<base::worker_id, std::set<task_key>> m_suspects;
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -127,6 +127,10 @@
     /// checkpoint and ticket, or nothing when no start can be sent to the worker; the worker's
     /// lists then decide how the placement ends.
     [[nodiscard]] std::optional<start_order> make_start(base::time_point now, const run_key& run);
+    /// Ends the placement of a run whose start wasn't sent.
+    void withdraw_start(const run_key& run, const base::worker_id& worker);
+    /// Placed runs for which this leader can't have sent a start.
+    [[nodiscard]] const std::set<run_key>& unsent_runs() const { return m_unsent; }
     void on_start_answer(base::time_point now, const run_key& run, const base::worker_id& worker,
                          start_outcome outcome);
     void on_stop_done(base::time_point now, const run_key& run, const base::worker_id& worker);
@@ -281,8 +285,7 @@
     void record_failure(entry& worker, base::time_point now, job_number job);
 
     worker_settings m_settings;
-    /// Placed runs for which this leader can't have sent a start.
-    std::set<run_key> m_unsent;
+    std::set<run_key> m_unsent; ///< see `unsent_runs`
     const ledger& m_ledger;
     fencing_token m_last_token; ///< the highest one of a worker
     std::map<base::worker_id, entry> m_workers;
--- a/src/jobs/advice_scheduler.cpp
+++ b/src/jobs/advice_scheduler.cpp
@@ -56,6 +56,22 @@
     }
 }
 
+void advice_scheduler::drop_queued_workers(
+    const std::function<bool(const base::worker_id&)>& is_gone)
+{
+    for (auto entry = m_waiting.begin(); entry != m_waiting.end();) {
+        auto& waiting = entry->second;
+        std::erase_if(waiting.workers, is_gone);
+        if (waiting.workers.empty()) {
+            --m_steps.at(waiting.step).open_calls;
+            entry = m_waiting.erase(entry);
+        }
+        else {
+            ++entry;
+        }
+    }
+}
+
 advice_scheduler::agent_state* advice_scheduler::idle_agent(base::time_point now, bool is_long,
                                                             const base::node_id*& name)
 {
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -35,6 +35,9 @@
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
       m_advice{settings.advice}, m_last_forget{now}
 {
+    for (const auto& [domain, record] : records.evacuations()) {
+        m_evacuation.revisions[domain] = record.revision;
+    }
     for (const auto id : records.open_jobs()) {
         const auto& job = *records.find(id);
         if (is_final(job.state)) {
@@ -153,6 +156,9 @@
         case pb::Operation::kRemoveWorker:
             on_worker_changed(now, base::worker_id{operation.remove_worker().id()});
             break;
+        case pb::Operation::kPutEvacuation:
+            on_evacuation(now, base::failure_domain{operation.put_evacuation().domain()});
+            break;
         default:
             break;
         }
@@ -281,6 +287,8 @@
             m_advice.forget(key);
         }
     }
+    std::erase_if(m_evacuation.withdrawn,
+                  [&](const run_key& run) { return run.task.job == job.spec.id; });
     std::erase_if(m_scheduled_steps,
                   [&](const auto& entry) { return entry.second.job == job.spec.id; });
 }
@@ -306,6 +314,7 @@
 
 void coordinator::on_placed(base::time_point now, const pb::PlaceTasks& operation)
 {
+    const bool is_evacuated = m_ledger.names_evacuated_worker(operation);
     for (const auto& placement : operation.placements()) {
         const auto run = jobs::from_proto(placement.task());
         remove_planned_run(run.task);
@@ -319,6 +328,9 @@
             send_start(now, run);
         }
         else {
+            if (is_evacuated) {
+                report_withheld_start(run, base::worker_id{placement.worker()}, "not_placed");
+            }
             end_isolation(now, base::worker_id{placement.worker()}, run.task);
             add_ready_step(*job, step_of(run.task));
         }
@@ -398,7 +410,8 @@
     if (how == pb::END_KIND_CRASHED) {
         ready.isolates_until = now + m_settings.planner.isolation_wait;
     }
-    if (never_began(how) && ready.refused_starts++ > 0) {
+    const bool is_withdrawn = m_evacuation.withdrawn.erase(run) > 0;
+    if (never_began(how) && !is_withdrawn && ready.refused_starts++ > 0) {
         const auto doublings = std::min(ready.refused_starts - 2, 6U);
         ready.not_before = now + std::min(m_settings.planner.retry_max,
                                           m_settings.planner.retry_first * (1 << doublings));
@@ -503,6 +516,7 @@
 
 coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
 {
+    withdraw_starts();
     collect_worker_output(now);
     if (m_needs_planning && now >= m_next_plan) {
         m_needs_planning = false;
--- a/src/jobs/ledger.cpp
+++ b/src/jobs/ledger.cpp
@@ -107,6 +107,8 @@
         m_cores = {operation.put_cores().addresses().begin(),
                    operation.put_cores().addresses().end()};
         return;
+    case pb::Operation::kPutEvacuation:
+        return apply(operation.put_evacuation(), now);
     case pb::Operation::BODY_NOT_SET:
         return;
     }
@@ -237,7 +239,7 @@
 
 void ledger::apply(const pb::PlaceTasks& operation)
 {
-    if (!may_place(operation)) {
+    if (names_evacuated_worker(operation) || !may_place(operation)) {
         return;
     }
     for (const auto& placement : operation.placements()) {
--- a/src/jobs/ledger_snapshot.cpp
+++ b/src/jobs/ledger_snapshot.cpp
@@ -104,6 +104,7 @@
     for (const auto& address : m_cores) {
         out.add_core_addresses(address);
     }
+    write_evacuations(out);
     out.set_history(m_history);
     return out.SerializeAsString();
 }
@@ -143,6 +144,7 @@
     m_catalog_version = message.catalog().version();
     m_catalog = message.catalog().document();
     m_cores = {message.core_addresses().begin(), message.core_addresses().end()};
+    read_evacuations(message);
     m_history = message.history();
     return absl::OkStatus();
 }
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -277,6 +277,19 @@
     return order;
 }
 
+void worker_table::withdraw_start(const run_key& run, const base::worker_id& id)
+{
+    auto* const worker = find(id);
+    if (worker == nullptr) {
+        return;
+    }
+    erase_start(*worker, run);
+    if (worker->unanswered_starts == 0) {
+        worker->unanswered_since.reset();
+    }
+    report(*worker, run, end_kind::not_started);
+}
+
 void worker_table::on_start_answer(base::time_point now, const run_key& run,
                                    const base::worker_id& id, start_outcome outcome)
 {
@@ -368,7 +381,8 @@
 bool worker_table::is_usable(const entry& worker, base::time_point now) const
 {
     return !worker.is_removed && worker.is_registered && !worker.info.draining &&
-           worker.is_fenced && !worker.has_missed_hold && worker.last_contact &&
+           !m_ledger.is_evacuated(worker.info.domain) && worker.is_fenced &&
+           !worker.has_missed_hold && worker.last_contact &&
            now - *worker.last_contact < m_settings.contact_timeout &&
            worker.quarantined_until <= now &&
            (!is_unresponsive(worker, now) ||
--- /dev/null
+++ b/tests/jobs/evacuation_test.cpp
@@ -0,0 +1,646 @@
+#include "lovagebeam/jobs/evacuation.h"
+#include "lovagebeam/jobs/ledger.h"
+
+#include "sim_cell.h"
+#include "support/seed.h"
+
+#include <absl/strings/str_cat.h>
+#include <absl/strings/str_join.h>
+#include <cppunit/extensions/HelperMacros.h>
+
+#include <algorithm>
+#include <string>
+#include <vector>
+
+namespace {
+
+using namespace lovagebeam;
+using namespace lovagebeam::jobs;
+using namespace std::chrono_literals;
+namespace sim = lovagebeam::jobs::test;
+
+const base::failure_domain north{"north"};
+const base::failure_domain south{"south"};
+
+/// Orders about failure domains in a ledger.
+class ledger_evacuation_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(ledger_evacuation_test);
+    CPPUNIT_TEST(repeated_order_changes_nothing);
+    CPPUNIT_TEST(repeated_withdrawal_changes_nothing);
+    CPPUNIT_TEST(withdrawal_without_evacuation_leaves_no_record);
+    CPPUNIT_TEST(late_duplicate_of_withdrawn_order_is_in_force_again);
+    CPPUNIT_TEST(crossed_orders_last_committed_is_in_force);
+    CPPUNIT_TEST(clock_that_went_back_last_committed_is_in_force);
+    CPPUNIT_TEST(unexpected_revision_changes_nothing);
+    CPPUNIT_TEST(crossed_orders_with_same_expected_revision_first_wins);
+    CPPUNIT_TEST(order_after_snapshot_is_still_in_force);
+    CPPUNIT_TEST(withdrawn_record_after_snapshot_keeps_its_revision);
+    CPPUNIT_TEST(ledger_without_orders_writes_no_evacuations);
+    CPPUNIT_TEST(one_domain_too_many_changes_nothing);
+    CPPUNIT_TEST(withdrawn_records_over_limit_oldest_is_removed);
+    CPPUNIT_TEST(placement_in_evacuated_domain_rejects_whole_operation);
+    CPPUNIT_TEST(placement_after_withdrawal_takes_effect);
+    CPPUNIT_TEST(worker_that_changed_its_domain_counts_in_the_present_one);
+    CPPUNIT_TEST(names_of_domains_are_checked);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    void repeated_order_changes_nothing()
+    {
+        order(north, true, "ops", "power work");
+        const auto first = m_records.evacuations().at(north);
+        order(north, true, "other", "retry");
+        CPPUNIT_ASSERT(first == m_records.evacuations().at(north));
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, first.revision);
+        CPPUNIT_ASSERT_EQUAL(std::string{"ops"}, first.who);
+        CPPUNIT_ASSERT_EQUAL(std::string{"power work"}, first.why);
+    }
+
+    void repeated_withdrawal_changes_nothing()
+    {
+        order(north, true);
+        order(north, false);
+        order(north, false);
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_records.evacuations().at(north).revision);
+    }
+
+    // Guards against records that grow with names that were never evacuated.
+    void withdrawal_without_evacuation_leaves_no_record()
+    {
+        order(north, false);
+        CPPUNIT_ASSERT(m_records.evacuations().empty());
+    }
+
+    // The duplicate can't be told from a new order, and an order that is acknowledged must be in
+    // force.
+    void late_duplicate_of_withdrawn_order_is_in_force_again()
+    {
+        order(north, true);
+        order(north, false);
+        order(north, true);
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{3}, m_records.evacuations().at(north).revision);
+    }
+
+    void crossed_orders_last_committed_is_in_force()
+    {
+        order(north, true);
+        order(south, true);
+        order(north, false);
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+        CPPUNIT_ASSERT(m_records.is_evacuated(south));
+        order(south, false);
+        order(north, true);
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+        CPPUNIT_ASSERT(!m_records.is_evacuated(south));
+    }
+
+    // Guards against an order of the log that is ranked by a leader's clock.
+    void clock_that_went_back_last_committed_is_in_force()
+    {
+        m_time_ms = 5'000;
+        order(north, true);
+        m_time_ms = 1'000;
+        order(north, false);
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+    }
+
+    void unexpected_revision_changes_nothing()
+    {
+        order(north, true);
+        order(north, false, {}, {}, 3);
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+        order(north, false, {}, {}, 1);
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+    }
+
+    void crossed_orders_with_same_expected_revision_first_wins()
+    {
+        order(north, true);
+        order(north, false, "first", {}, 1);
+        order(north, true, "second", {}, 1);
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+        CPPUNIT_ASSERT_EQUAL(std::string{"first"}, m_records.evacuations().at(north).who);
+    }
+
+    void order_after_snapshot_is_still_in_force()
+    {
+        order(north, true, "ops", "power work");
+        const auto before = m_records.evacuations();
+        restore();
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_records.evacuated_count());
+        CPPUNIT_ASSERT(before == m_records.evacuations());
+        order(north, true);
+        CPPUNIT_ASSERT(before == m_records.evacuations());
+    }
+
+    void withdrawn_record_after_snapshot_keeps_its_revision()
+    {
+        order(north, true);
+        order(north, false);
+        restore();
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{2}, m_records.evacuations().at(north).revision);
+        order(north, true, {}, {}, 2);
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+    }
+
+    // Guards against snapshots that differ from those of earlier versions on deployments that never
+    // evacuate.
+    void ledger_without_orders_writes_no_evacuations()
+    {
+        put_worker("w0", "north");
+        const auto bytes = m_records.encode();
+        proto::jobs::Snapshot snapshot;
+        CPPUNIT_ASSERT(snapshot.ParseFromString(bytes));
+        CPPUNIT_ASSERT_EQUAL(0, snapshot.evacuations_size());
+        order(north, false);
+        CPPUNIT_ASSERT(snapshot.ParseFromString(m_records.encode()));
+        CPPUNIT_ASSERT_EQUAL(0, snapshot.evacuations_size());
+    }
+
+    void one_domain_too_many_changes_nothing()
+    {
+        for (std::size_t i = 0; i < max_evacuated_domains; ++i) {
+            order(base::failure_domain{absl::StrCat("d", i)}, true);
+        }
+        order(north, true);
+        CPPUNIT_ASSERT(!m_records.is_evacuated(north));
+        CPPUNIT_ASSERT(!m_records.evacuations().contains(north));
+        order(base::failure_domain{"d0"}, false);
+        order(north, true);
+        CPPUNIT_ASSERT(m_records.is_evacuated(north));
+    }
+
+    // Guards against a replicated state that grows with every name that was ever evacuated.
+    void withdrawn_records_over_limit_oldest_is_removed()
+    {
+        order(south, true);
+        for (std::size_t i = 0; i <= max_withdrawn_evacuations; ++i) {
+            ++m_time_ms;
+            const base::failure_domain name{absl::StrCat("d", i)};
+            order(name, true);
+            order(name, false);
+        }
+        CPPUNIT_ASSERT_EQUAL(max_withdrawn_evacuations + 1, m_records.evacuations().size());
+        CPPUNIT_ASSERT(!m_records.evacuations().contains(base::failure_domain{"d0"}));
+        CPPUNIT_ASSERT(m_records.evacuations().contains(base::failure_domain{"d1"}));
+        CPPUNIT_ASSERT(m_records.is_evacuated(south));
+    }
+
+    // Guards against a placement that was decided before the order and is committed after it.
+    void placement_in_evacuated_domain_rejects_whole_operation()
+    {
+        put_worker("w0", "north");
+        put_worker("w1", "south");
+        accept(1, 2);
+        order(north, true);
+        place({"w0", "w1"});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{0}, m_records.find(job_number{1})->placed);
+        place({"w1", "w1"});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{2}, m_records.find(job_number{1})->placed);
+    }
+
+    void placement_after_withdrawal_takes_effect()
+    {
+        put_worker("w0", "north");
+        accept(1, 1);
+        order(north, true);
+        order(north, false);
+        place({"w0"});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_records.find(job_number{1})->placed);
+    }
+
+    void worker_that_changed_its_domain_counts_in_the_present_one()
+    {
+        put_worker("w0", "north");
+        order(north, true);
+        CPPUNIT_ASSERT(m_records.is_evacuated(base::worker_id{"w0"}));
+        put_worker("w0", "south");
+        CPPUNIT_ASSERT(!m_records.is_evacuated(base::worker_id{"w0"}));
+        accept(1, 1);
+        place({"w0"});
+        CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, m_records.find(job_number{1})->placed);
+    }
+
+    void names_of_domains_are_checked()
+    {
+        CPPUNIT_ASSERT(check_domain_name("eu-1_a.B").ok());
+        CPPUNIT_ASSERT(check_domain_name(std::string(64, 'a')).ok());
+        CPPUNIT_ASSERT(!check_domain_name("").ok());
+        CPPUNIT_ASSERT(!check_domain_name(std::string(65, 'a')).ok());
+        for (const std::string name : {"a b", "a/b", "a%20b", "\xc3\xa9", "a\n", "a?"}) {
+            CPPUNIT_ASSERT_MESSAGE(name, !check_domain_name(name).ok());
+        }
+        CPPUNIT_ASSERT(!check_domain_name(std::string_view{"a\0", 2}).ok());
+    }
+
+private:
+    void apply(proto::jobs::Batch batch)
+    {
+        batch.set_time_ms(m_time_ms);
+        CPPUNIT_ASSERT(m_records.apply(batch.SerializeAsString()).ok());
+    }
+
+    void order(const base::failure_domain& domain, bool is_evacuated, const std::string& who = {},
+               const std::string& why = {}, std::uint64_t expected_revision = 0)
+    {
+        proto::jobs::Batch batch;
+        auto& operation = *batch.add_operations()->mutable_put_evacuation();
+        operation.set_domain(domain.str());
+        operation.set_evacuated(is_evacuated);
+        operation.set_who(who);
+        operation.set_why(why);
+        operation.set_expected_revision(expected_revision);
+        apply(batch);
+    }
+
+    void put_worker(const std::string& id, const std::string& domain)
+    {
+        proto::jobs::Batch batch;
+        auto& operation = *batch.add_operations()->mutable_put_worker();
+        operation.mutable_worker()->set_id(id);
+        operation.mutable_worker()->set_domain(domain);
+        operation.mutable_worker()->set_born_ms(1);
+        apply(batch);
+    }
+
+    void accept(std::uint64_t id, std::uint32_t tasks)
+    {
+        proto::jobs::Batch batch;
+        *batch.add_operations()->mutable_accept()->mutable_spec() =
+            to_proto(sim::simple_job(id, tasks, 1'000));
+        apply(batch);
+    }
+
+    /// Places the tasks of job 1 on these workers.
+    void place(const std::vector<std::string>& workers)
+    {
+        proto::jobs::Batch batch;
+        auto& operation = *batch.add_operations()->mutable_place();
+        for (std::uint32_t i = 0; i < workers.size(); ++i) {
+            auto& placement = *operation.add_placements();
+            *placement.mutable_task() = to_proto(run_key{{job_number{1}, 0, 0, i}, 1});
+            placement.set_worker(workers[i]);
+            placement.set_born_ms(1);
+        }
+        apply(batch);
+    }
+
+    void restore()
+    {
+        const auto snapshot = m_records.encode();
+        ledger restored;
+        CPPUNIT_ASSERT(restored.decode(snapshot).ok());
+        CPPUNIT_ASSERT_EQUAL(snapshot, restored.encode());
+        m_records = std::move(restored);
+    }
+
+    ledger m_records;
+    std::int64_t m_time_ms = 1'000;
+};
+
+/// Evacuations in a simulated cell, which reports each start that is sent to an evacuated domain.
+class evacuation_test : public CppUnit::TestFixture {
+    CPPUNIT_TEST_SUITE(evacuation_test);
+    CPPUNIT_TEST(burst_in_evacuated_domain_runs_elsewhere);
+    CPPUNIT_TEST(running_tasks_continue_through_leader_change);
+    CPPUNIT_TEST(committed_placement_that_was_not_sent_is_withdrawn);
+    CPPUNIT_TEST(gang_with_unsent_member_is_withdrawn_as_a_whole);
+    CPPUNIT_TEST(gangs_while_domain_is_evacuated_all_end);
+    CPPUNIT_TEST(withdrawn_domain_gets_tasks_again);
+    CPPUNIT_TEST(worker_that_registers_later_gets_no_tasks);
+    CPPUNIT_TEST(worker_that_moves_to_evacuated_domain_gets_no_tasks);
+    CPPUNIT_TEST(reservations_and_queued_advice_are_released);
+    CPPUNIT_TEST(all_domains_evacuated_tasks_wait_until_withdrawal);
+    CPPUNIT_TEST(random_orders_with_faults_keep_the_rules);
+    CPPUNIT_TEST_SUITE_END();
+
+public:
+    // Guards against starts that were planned, committed or on their way to the commit when the
+    // order came.
+    void burst_in_evacuated_domain_runs_elsewhere()
+    {
+        auto cell = make_cell(9, 3);
+        submit(cell, 1, 60, 8, 1'000);
+        cell.run_for(30ms);
+        cell.order_evacuation("d1", true);
+        submit(cell, 100, 60, 8, 1'000);
+        cell.run_for(20s);
+        check_rules(cell);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, cell.logged_events["evacuation_in_force"]);
+        check_no_task_in(cell, "d1");
+    }
+
+    // Guards against a next leader that stops or loses what runs in the domain, and against one
+    // that starts more there.
+    void running_tasks_continue_through_leader_change()
+    {
+        auto cell = make_cell(4, 2);
+        auto job = simple_job_of(1, 40, 4'000);
+        job.steps[0].estimate = 12s; // each task takes 6 to 24 s
+        cell.submit(job);
+        cell.run_for(600ms);
+        const auto running = tasks_in(cell, "d0");
+        CPPUNIT_ASSERT(running > 0);
+        cell.order_evacuation("d0", true);
+        cell.run_for(200ms);
+        CPPUNIT_ASSERT_EQUAL(running, tasks_in(cell, "d0"));
+        cell.change_leader();
+        cell.run_for(1'500ms);
+        CPPUNIT_ASSERT(cell.leader != nullptr);
+        CPPUNIT_ASSERT_EQUAL(running, tasks_in(cell, "d0"));
+        cell.run_for(40s);
+        check_rules(cell);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+        for (const auto& task : cell.records.find(job_number{1})->steps[0].tasks) {
+            CPPUNIT_ASSERT_EQUAL(std::uint32_t{1}, task.attempt);
+        }
+    }
+
+    // Guards against a start that is ready to be sent when the order is applied.
+    void committed_placement_that_was_not_sent_is_withdrawn()
+    {
+        auto cell = make_cell(2, 2);
+        cell.run_for(1s);
+        const auto placement = commit_placement_of(cell, simple_job_of(1, 60, 2'000));
+        cell.leader->on_applied(cell.now, placement);
+        evacuate_now(cell, "d0");
+        const auto out = cell.leader->take(cell.now, cell.wall());
+        CPPUNIT_ASSERT(!out.starts.empty());
+        for (const auto& start : out.starts) {
+            CPPUNIT_ASSERT_EQUAL(std::string{"w1"}, start.to.worker.str());
+        }
+        const auto placed_there = cell.records.placed_on(base::worker_id{"w0"}).size();
+        CPPUNIT_ASSERT(placed_there > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{placed_there}, out.withheld_starts);
+        CPPUNIT_ASSERT_EQUAL(placed_there, not_started_ends(out));
+    }
+
+    // Guards against members of a gang that are sent and wait for others that were withdrawn.
+    void gang_with_unsent_member_is_withdrawn_as_a_whole()
+    {
+        auto cell = make_cell(2, 2);
+        cell.run_for(1s);
+        auto job = simple_job_of(1, 4, 30'000);
+        job.steps[0].gang = true;
+        const auto placement = commit_placement_of(cell, job);
+        cell.leader->on_applied(cell.now, placement);
+        evacuate_now(cell, "d0");
+        const auto out = cell.leader->take(cell.now, cell.wall());
+        CPPUNIT_ASSERT(out.starts.empty());
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, out.withheld_starts);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{4}, not_started_ends(out));
+    }
+
+    void gangs_while_domain_is_evacuated_all_end()
+    {
+        auto cell = make_cell(9, 3);
+        cell.run_for(1s);
+        for (std::uint64_t id = 1; id <= 30; ++id) {
+            auto job = simple_job_of(id, 6, 16'000);
+            job.steps[0].gang = true;
+            cell.submit(job);
+        }
+        cell.run_for(60ms);
+        cell.order_evacuation("d2", true);
+        cell.run_for(30s);
+        check_rules(cell);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+    }
+
+    void withdrawn_domain_gets_tasks_again()
+    {
+        auto cell = make_cell(4, 2);
+        cell.order_evacuation("d0", true);
+        cell.run_for(1s);
+        submit(cell, 1, 1, 64, 2'000);
+        cell.run_for(300ms);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, tasks_in(cell, "d0"));
+        cell.order_evacuation("d0", false);
+        submit(cell, 2, 1, 128, 2'000);
+        cell.run_for(300ms);
+        CPPUNIT_ASSERT(tasks_in(cell, "d0") > 0);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{1}, cell.logged_events["evacuation_withdrawn"]);
+        check_rules(cell);
+    }
+
+    void worker_that_registers_later_gets_no_tasks()
+    {
+        auto cell = make_cell(2, 2);
+        cell.order_evacuation("d0", true);
+        cell.run_for(1s);
+        cell.add_worker("w2"); // in d0
+        CPPUNIT_ASSERT_EQUAL(std::string{"d0"},
+                             cell.workers.at(base::worker_id{"w2"}).info.domain.str());
+        cell.run_for(1s);
+        submit(cell, 1, 10, 16, 4'000);
+        cell.run_for(10s);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+        check_rules(cell);
+    }
+
+    // Guards against a worker that is judged by the domain of an earlier instance.
+    void worker_that_moves_to_evacuated_domain_gets_no_tasks()
+    {
+        auto cell = make_cell(3, 3);
+        cell.order_evacuation("d1", true);
+        cell.run_for(1s);
+        const base::worker_id moved{"w0"};
+        cell.workers.at(moved).info.domain = base::failure_domain{"d1"};
+        cell.replace_worker(moved, 10ms);
+        cell.run_for(2s);
+        CPPUNIT_ASSERT(cell.records.is_evacuated(moved));
+        submit(cell, 1, 10, 16, 4'000);
+        cell.run_for(10s);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+        check_rules(cell);
+    }
+
+    // Guards against capacity that stays reserved for tickets of workers which get no tasks.
+    void reservations_and_queued_advice_are_released()
+    {
+        sim::sim_settings settings;
+        settings.workers = 12;
+        settings.domains = 3;
+        settings.with_advice = true;
+        settings.agents = 2;
+        sim::sim_cell cell{7, settings};
+        cell.run_for(1s);
+        for (std::uint64_t id = 1; id <= 40; ++id) {
+            auto job = simple_job_of(id, 4, 8'000);
+            job.steps[0].gang = id % 2 == 0;
+            cell.submit(job);
+        }
+        cell.run_for(70ms);
+        cell.order_evacuation("d0", true);
+        cell.run_for(30s);
+        check_rules(cell);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+    }
+
+    void all_domains_evacuated_tasks_wait_until_withdrawal()
+    {
+        auto cell = make_cell(4, 2);
+        cell.order_evacuation("d0", true);
+        cell.order_evacuation("d1", true);
+        cell.run_for(1s);
+        submit(cell, 1, 5, 4, 1'000);
+        cell.run_for(3s);
+        CPPUNIT_ASSERT_EQUAL(std::uint64_t{0}, cell.starts);
+        cell.order_evacuation("d1", false);
+        cell.run_for(5s);
+        CPPUNIT_ASSERT(cell.all_jobs_ended());
+        check_rules(cell);
+    }
+
+    // Repeated, late and crossed orders while workers restart, orders are lost and leaders change.
+    void random_orders_with_faults_keep_the_rules()
+    {
+        const auto& seeds = lovagebeam::test::seeds();
+        for (auto seed = seeds.first; seed < seeds.first + seeds.runs_or(12); ++seed) {
+            sim::sim_settings settings;
+            settings.workers = 9;
+            settings.domains = 3;
+            settings.lose_request = 0.02;
+            settings.lose_answer = 0.02;
+            settings.with_advice = seed % 2 == 0;
+            sim::sim_cell cell{seed, settings};
+            cell.has_faults = true;
+            cell.run_for(1s);
+            std::uint64_t next = 1;
+            for (int round = 0; round < 40; ++round) {
+                for (int i = 0; i < 4; ++i) {
+                    auto job = simple_job_of(
+                        next++, static_cast<std::uint32_t>(cell.random.between(1, 6)),
+                        static_cast<std::int64_t>(cell.random.between(1, 16)) * 1'000);
+                    job.steps[0].gang = cell.random.chance(0.4);
+                    cell.submit(job);
+                }
+                if (cell.random.chance(0.5)) {
+                    cell.order_evacuation(absl::StrCat("d", cell.random.below(3)),
+                                          cell.random.chance(0.6));
+                }
+                if (cell.random.chance(0.05)) {
+                    cell.change_leader();
+                }
+                if (cell.random.chance(0.05)) {
+                    cell.restart_worker(base::worker_id{absl::StrCat("w", cell.random.below(9))},
+                                        true);
+                }
+                cell.run_for(milliseconds{cell.random.between(20, 400)});
+            }
+            for (const auto* const domain : {"d0", "d1", "d2"}) {
+                cell.order_evacuation(domain, false);
+            }
+            cell.run_for(60s);
+            check_rules(cell, seed);
+            CPPUNIT_ASSERT_MESSAGE(absl::StrCat("seed ", seed), cell.all_jobs_ended());
+        }
+    }
+
+private:
+    static job_spec simple_job_of(std::uint64_t id, std::uint32_t tasks, std::int64_t millicores)
+    {
+        return sim::simple_job(id, tasks, millicores);
+    }
+
+    static sim::sim_cell make_cell(std::uint32_t workers, std::uint32_t domains)
+    {
+        sim::sim_settings settings;
+        settings.workers = workers;
+        settings.domains = domains;
+        return sim::sim_cell{1, settings};
+    }
+
+    static void submit(sim::sim_cell& cell, std::uint64_t first, std::uint64_t jobs,
+                       std::uint32_t tasks, std::int64_t millicores)
+    {
+        for (std::uint64_t id = first; id < first + jobs; ++id) {
+            cell.submit(simple_job_of(id, tasks, millicores));
+        }
+    }
+
+    static void check_rules(sim::sim_cell& cell, std::uint64_t seed = 0)
+    {
+        cell.check_acknowledged_ends();
+        CPPUNIT_ASSERT_EQUAL_MESSAGE(absl::StrCat("seed ", seed), std::string{},
+                                     absl::StrJoin(cell.violations, "\n"));
+    }
+
+    static std::size_t tasks_in(const sim::sim_cell& cell, const std::string& domain)
+    {
+        std::size_t count = 0;
+        for (const auto& [id, worker] : cell.workers) {
+            count += worker.info.domain.str() == domain ? worker.runs.size() : 0;
+        }
+        return count;
+    }
+
+    static void check_no_task_in(const sim::sim_cell& cell, const std::string& domain)
+    {
+        for (const auto& [id, info] : cell.records.workers()) {
+            CPPUNIT_ASSERT(info.domain.str() != domain || cell.records.placed_on(id).empty());
+        }
+    }
+
+    /// Applies the submission at once, and then the placement that the leader decides on, but not
+    /// to the leader. Returns the batch with the placement.
+    static proto::jobs::Batch commit_placement_of(sim::sim_cell& cell, const job_spec& job)
+    {
+        proto::jobs::Batch submission;
+        *submission.add_operations()->mutable_accept()->mutable_spec() = to_proto(job);
+        apply(cell, submission);
+        cell.leader->on_applied(cell.now, submission);
+        for (int i = 0; i < 100; ++i) {
+            cell.now += 1ms;
+            cell.leader->tick(cell.now, cell.wall());
+            for (auto& [number, batch] : cell.leader->take(cell.now, cell.wall()).batches) {
+                if (std::ranges::any_of(batch.operations(), &proto::jobs::Operation::has_place)) {
+                    apply(cell, batch);
+                    return batch;
+                }
+            }
+        }
+        CPPUNIT_FAIL("nothing was placed");
+        return {};
+    }
+
+    static void apply(sim::sim_cell& cell, const proto::jobs::Batch& batch)
+    {
+        CPPUNIT_ASSERT(cell.records.apply(batch.SerializeAsString()).ok());
+    }
+
+    static void evacuate_now(sim::sim_cell& cell, const std::string& domain)
+    {
+        proto::jobs::Batch batch;
+        auto& operation = *batch.add_operations()->mutable_put_evacuation();
+        operation.set_domain(domain);
+        operation.set_evacuated(true);
+        apply(cell, batch);
+        cell.leader->on_applied(cell.now, batch);
+    }
+
+    static std::size_t not_started_ends(const coordinator_output& out)
+    {
+        std::size_t count = 0;
+        for (const auto& [id, batch] : out.batches) {
+            for (const auto& operation : batch.operations()) {
+                count += operation.has_end() &&
+                                 operation.end().how() == proto::jobs::END_KIND_NOT_STARTED
+                             ? 1
+                             : 0;
+            }
+        }
+        return count;
+    }
+};
+
+CPPUNIT_TEST_SUITE_REGISTRATION(ledger_evacuation_test);
+CPPUNIT_TEST_SUITE_REGISTRATION(evacuation_test);
+
+} // namespace
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -102,6 +102,10 @@
     worker.info.labels = {"a", worker.info.rack};
     worker.info.capacity = {worker_millicores, 262'144, 0};
     worker.info.started_at = wall();
+    if (settings.domains > 0) {
+        worker.info.domain =
+            base::failure_domain{absl::StrCat("d", workers.size() % settings.domains)};
+    }
     worker.started = now;
     worker.clock_speed = 0.98 + 0.04 * random.unit();
     m_used_ids.insert(worker.info.id);
@@ -117,6 +121,15 @@
     commit(0, batch);
 }
 
+void sim_cell::order_evacuation(const std::string& domain, bool is_evacuated)
+{
+    proto::jobs::Batch batch;
+    auto& operation = *batch.add_operations()->mutable_put_evacuation();
+    operation.set_domain(domain);
+    operation.set_evacuated(is_evacuated);
+    commit(0, batch);
+}
+
 void sim_cell::drain_worker(const base::worker_id& id)
 {
     auto& info = workers.at(id).info;
@@ -251,10 +264,18 @@
         return;
     }
     auto out = leader->take(now, wall());
+    withheld_starts += out.withheld_starts;
+    for (const auto& entry : out.log_entries) {
+        ++logged_events[std::string{entry.event}];
+    }
     for (const auto& [id, batch] : out.batches) {
         commit(id, batch);
     }
     for (const auto& order : out.starts) {
+        const auto found = workers.find(order.to.worker);
+        if (found != workers.end() && records.is_evacuated(found->second.info.domain)) {
+            add_violation("EVACUATED", order.run, "a start is sent to an evacuated domain");
+        }
         send(order);
     }
     for (const auto& order : out.stops) {
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -60,7 +60,8 @@
 
 struct sim_settings {
     std::uint32_t workers = 8;
-    double lose_request = 0; ///< probability for each order, like those below
+    std::uint32_t domains = 0; ///< failure domains d0, d1, ... of the workers in turn; 0: no names
+    double lose_request = 0;   ///< probability for each order, like those below
     double lose_answer = 0;
     double apply_late = 0;           ///< a start or stop is carried out seconds later
     double apply_hold_late = 0;      ///< a hold is carried out seconds later
@@ -93,11 +94,15 @@
     bool has_faults = false;
     /// Tasks that end the process of each worker that starts them, and how long after the start.
     std::map<task_key, base::duration> crashing_tasks;
-    std::uint64_t crashes = 0;      ///< caused by `crashing_tasks`
+    std::uint64_t crashes = 0; ///< caused by `crashing_tasks`
+    std::uint64_t withheld_starts = 0;
+    std::map<std::string, std::uint64_t> logged_events;
     std::uint64_t direct_holds = 0; ///< holds that no other process may pass on
 
     [[nodiscard]] base::wall_time wall() const;
     void add_worker(const std::string& id);
+    /// Commits an order to evacuate a failure domain, or the withdrawal of that order.
+    void order_evacuation(const std::string& domain, bool is_evacuated);
     /// Ends the worker's process and starts it again up to 1.5 s later, with the same id or a new
     /// one.
     void restart_worker(const base::worker_id& id, bool same_id);
