Take operators' orders to evacuate failure domains

Cause: the ledger can evacuate a failure domain, and nobody could order it.

A process that isn't the leader answers 307, one that can't confirm the commit 503 with Retry-After. Every order is committed, also one that asks for what is in force: an earlier order to the contrary may be on its way. An order that waited in the process for longer than ack_timeout_ms (new setting, 5,000) isn't carried out. Metrics lovagebeam_evacuated_domains, lovagebeam_evacuated_tasks and lovagebeam_starts_withheld_total.

--- a/include/lovagebeam/controlplane/ports.h
+++ b/include/lovagebeam/controlplane/ports.h
@@ -80,16 +80,29 @@
     not_leader,  ///< `leader_address` may name the process to call instead
     invalid,     ///< the document is invalid; a retry will fail as well
     unconfirmed, ///< may have taken effect, or can't be answered here; retry
+    conflict,    ///< the record's revision isn't the expected one; nothing changed
+    limit,       ///< a limit of the state is reached; nothing changed
 };
 
 struct control_answer {
     control_outcome outcome = control_outcome::unconfirmed;
     std::string leader_address; ///< IP address; empty when no leader is known
-    std::string body;
+    std::string body;           ///< for `invalid`, `conflict` and `limit` the reason in plain text
 };
 
 using control_done = std::function<void(control_answer)>;
 
+/// An operator's order to start no more tasks on the workers of a failure domain, or to withdraw
+/// that order.
+struct evacuation_order {
+    base::failure_domain domain;
+    bool evacuate = true; ///< false withdraws
+    std::string who;
+    std::string why;
+    std::uint64_t expected_revision = 0; ///< of the domain's record; 0 for any
+    base::time_point received;           ///< by this process, on the clock of `base::boot_time`
+};
+
 /// The calls of workers and operators to a core process. Thread-safe; callbacks run on any thread.
 class control_service {
 public:
@@ -106,6 +119,12 @@
     virtual void put_catalog(std::string document, control_done done) = 0;
     /// The answer's `body` is the current configuration as it was submitted.
     virtual void get_catalog(control_done done) = 0;
+    /// Completes once the order is in force. An order that repeats what is in force changes
+    /// nothing. One that has waited in this process until its sender gave up isn't carried out and
+    /// is `unconfirmed`.
+    virtual void set_evacuation(evacuation_order order, control_done done) = 0;
+    /// The answer's `body` is a JSON object with the records of all evacuations.
+    virtual void list_evacuations(control_done done) = 0;
 };
 
 } // namespace lovagebeam::controlplane
--- a/include/lovagebeam/settings/process_settings.h
+++ b/include/lovagebeam/settings/process_settings.h
@@ -38,6 +38,9 @@
     std::chrono::milliseconds max_lease{6'000};
     std::chrono::milliseconds grace{6'000};
     std::chrono::milliseconds heartbeat{1'500};
+    /// How long an operator repeats an order that isn't acknowledged. One that has waited in a
+    /// process for longer isn't carried out.
+    std::chrono::milliseconds ack_timeout{5'000};
     /// Connections of callers to an entry process, or of workers and operators to a core process.
     /// With the other connections of the process it has to fit into the descriptors of the host.
     std::size_t max_connections = 2'500;
--- a/src/controlplane/core_calls.cpp
+++ b/src/controlplane/core_calls.cpp
@@ -51,6 +51,9 @@
     else if (path == hello_path) {
         serve_hello(now, request.body, reply);
     }
+    else if (path.starts_with(evacuations_path)) {
+        serve_evacuations(now, request, reply);
+    }
     else {
         reply(callers::error_response(404, error_code::not_found, "no such call"));
     }
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -343,6 +343,9 @@
     auto out = m_coordinator->take(now, wall(now));
     const auto ended = base::boot_time();
     m_coordinator->on_planning_time(ended, ended - started);
+    if (out.withheld_starts > 0) {
+        m_core_metrics.on_withheld_starts(out.withheld_starts);
+    }
     for (const auto& [id, batch] : out.batches) {
         commit_batch(now, id, batch);
     }
--- a/src/controlplane/core_host_implementation.h
+++ b/src/controlplane/core_host_implementation.h
@@ -42,6 +42,8 @@
     void remove_worker(base::worker_id id, base::wall_time started_at, control_done done) override;
     void put_catalog(std::string document, control_done done) override;
     void get_catalog(control_done done) override;
+    void set_evacuation(evacuation_order order, control_done done) override;
+    void list_evacuations(control_done done) override;
 
 private:
     using commit_outcome = caller_service::commit_outcome;
@@ -73,6 +75,13 @@
     void handle_report(base::time_point now, const worker_report& report, const control_done& done);
     void handle_catalog(base::time_point now, const std::string& document,
                         const control_done& done);
+    void handle_evacuation(base::time_point now, const evacuation_order& order,
+                           const control_done& done);
+    /// What a committed order has led to.
+    [[nodiscard]] control_answer result_of(const evacuation_order& order) const;
+    [[nodiscard]] control_answer make_evacuation_list(base::time_point now) const;
+    void serve_evacuations(base::time_point now, const callers::http_request& request,
+                           const callers::reply& reply);
     void load_catalog();
     void write_load_report(base::time_point now);
     /// The time of day that decisions use.
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -85,6 +85,11 @@
     count("lovagebeam_requests_refused_total", "status", std::to_string(status));
 }
 
+void core_metrics::on_withheld_starts(std::uint64_t count)
+{
+    m_registry.counter_named("lovagebeam_starts_withheld_total").add(count);
+}
+
 void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
                           base::time_point now)
 {
@@ -99,12 +104,15 @@
     double usable = 0;
     double draining = 0;
     double quarantined = 0;
+    std::size_t evacuated_tasks = 0;
     jobs::size capacity;
     jobs::size used;
     for (const auto& [id, info] : records.workers()) {
         usable += leader != nullptr && leader->workers().is_usable(now, id) ? 1 : 0;
         quarantined += leader != nullptr && leader->workers().is_quarantined(now, id) ? 1 : 0;
         draining += info.draining ? 1 : 0;
+        evacuated_tasks +=
+            records.is_evacuated(info.domain) ? records.placed_on(id).size() : std::size_t{0};
         capacity += info.capacity;
         used += records.used_on(id);
     }
@@ -117,6 +125,9 @@
         .set(static_cast<double>(capacity.millicores));
     m_registry.gauge_named("lovagebeam_booked_millicores")
         .set(static_cast<double>(used.millicores));
+    m_registry.gauge_named("lovagebeam_evacuated_domains")
+        .set(static_cast<double>(records.evacuated_count()));
+    m_registry.gauge_named("lovagebeam_evacuated_tasks").set(static_cast<double>(evacuated_tasks));
     m_registry.gauge_named("lovagebeam_waiting_steps")
         .set(leader == nullptr ? 0 : static_cast<double>(leader->ready_step_count()));
 }
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -4,6 +4,7 @@
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/telemetry/metrics.h"
 
+#include <cstdint>
 #include <string_view>
 
 namespace lovagebeam::controlplane {
@@ -21,6 +22,7 @@
     void on_start_call(jobs::start_outcome outcome, base::duration took);
     void on_advice_call(bool is_answered, base::duration took);
     void on_refusal(unsigned status);
+    void on_withheld_starts(std::uint64_t count);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
--- a/src/controlplane/internal_calls.h
+++ b/src/controlplane/internal_calls.h
@@ -20,6 +20,8 @@
 inline constexpr std::string_view sync_path = "/v1/sync";
 inline constexpr std::string_view hello_path = "/v1/hello";
 inline constexpr std::string_view advice_path = "/v1/advice";
+/// Of the operators' command. Followed by a slash and the name of a failure domain for an order.
+inline constexpr std::string_view evacuations_path = "/v1/evacuations";
 
 /// Ports of a host for calls between the system's processes.
 inline std::uint16_t peer_port(const settings::process_settings& settings)
--- a/src/settings/process_settings.cpp
+++ b/src/settings/process_settings.cpp
@@ -133,6 +133,7 @@
     read_duration(reader, "max_lease_ms", 500, out.max_lease);
     read_duration(reader, "grace_ms", 1'000, out.grace);
     read_duration(reader, "heartbeat_ms", 50, out.heartbeat);
+    read_duration(reader, "ack_timeout_ms", 100, out.ack_timeout);
     read_control_mode(reader);
     read_limits(reader, out);
     reader.read("log_level", out.log_level, presence::optional);
--- a/tests/settings/process_settings_test.cpp
+++ b/tests/settings/process_settings_test.cpp
@@ -14,7 +14,7 @@
     std::string text = R"({"node_id":"n1","address":"10.0.0.1","failure_domain":"a",
         "callers":"10.0.0.1:8183","first_internal_port":7420,"last_internal_port":7435,
         "seeds":["10.0.0.1:8180"],"first_start":true,"tolerated_losses":1,"max_lease_ms":6000,
-        "control_mode":"calls"})";
+        "ack_timeout_ms":4000,"control_mode":"calls"})";
     if (!old.empty()) {
         text.replace(text.find(old), old.size(), changed);
     }
@@ -36,6 +36,9 @@
         CPPUNIT_ASSERT_EQUAL(std::uint16_t{8183}, result.settings->callers->port);
         CPPUNIT_ASSERT_EQUAL(std::string{"10.0.0.1"}, result.settings->seeds.at(0).address);
         CPPUNIT_ASSERT(result.settings->is_first_start);
+        CPPUNIT_ASSERT(result.settings->ack_timeout == std::chrono::milliseconds{4'000});
+        const auto without = parse_process_settings(document(R"("ack_timeout_ms":4000,)", ""));
+        CPPUNIT_ASSERT(without.settings->ack_timeout == std::chrono::milliseconds{5'000});
     }
 
     // Guards against a process that starts although one of its settings is invalid.
@@ -47,9 +50,12 @@
             {R"("last_internal_port":7435)", R"("last_internal_port":7421)"},
             {R"("control_mode":"calls")", R"("control_mode":"heartbeat")"},
             {R"("node_id":"n1")", R"("node_ids":"n1")"},
+            {R"("ack_timeout_ms":4000)", R"("ack_timeout_ms":0)"},
+            {R"("ack_timeout_ms":4000)", R"("ack_timeout_ms":"long")"},
         };
-        const std::string paths[] = {"callers", "seeds[0]", "last_internal_port", "control_mode",
-                                     "node_id"};
+        const std::string paths[] = {"callers",       "seeds[0]", "last_internal_port",
+                                     "control_mode",  "node_id",  "ack_timeout_ms",
+                                     "ack_timeout_ms"};
         for (std::size_t i = 0; i < std::size(paths); ++i) {
             const auto result =
                 parse_process_settings(document(mistakes[i].first, mistakes[i].second));
