--- a/src/jobs/advice_scheduler.cpp
+++ b/src/jobs/advice_scheduler.cpp
@@ -59,6 +59,24 @@
     }
 }
 
+void advice_scheduler::drop_queued_workers(
+    const std::function<bool(const base::worker_id&)>& is_gone)
+{
+    for (auto* const queue : {&m_short, &m_long}) {
+        for (auto entry = queue->begin(); entry != queue->end();) {
+            auto& waiting = entry->second;
+            std::erase_if(waiting.workers, is_gone);
+            if (waiting.workers.empty()) {
+                --m_steps.at(waiting.step).open_calls;
+                entry = queue->erase(entry);
+            }
+            else {
+                ++entry;
+            }
+        }
+    }
+}
+
 advice_scheduler::agent_pool advice_scheduler::idle_agents(base::time_point now)
 {
     agent_pool out;
