Judge stalled runs by gang and by pace

Cause: worker_table stopped any run whose percentage hadn't changed for 3.5 s. Gang members that were done and waited at 100% for slower members were stopped and counted against their workers.

Change: scheduling::progress_monitor judges each run. A gang in which no member makes progress is stopped without blaming a worker (gang_stalled). Runs that end because another member is done get gang_end_timeout from when that was noticed, no longer from their last progress. New counter lovagebeam_runs_stalled_total{kind}.

The simulated workers have a speed, a length for each task and a wait of gang members at 100%; a gang with a hanging member doesn't end.

--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -2,6 +2,7 @@
 
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
+#include "lovagebeam/scheduling/progress_monitor.h"
 
 #include <cstdint>
 #include <map>
@@ -54,8 +55,8 @@
     double clock_drift = 0.02;
     /// Longest time for which ends that aren't committed yet delay the next hold.
     milliseconds end_commit_timeout{500};
-    /// A run without progress for this time is stopped and placed elsewhere.
-    milliseconds stall_timeout{3'500};
+    /// A run without progress is stopped and placed elsewhere.
+    scheduling::progress_settings progress;
     /// A member of a gang that is still listed this long after another one ended is stopped.
     milliseconds gang_end_timeout{1'000};
     /// Number of distinct jobs with failed runs, without a successful run in between, after which a
@@ -166,10 +167,6 @@
         std::optional<base::time_point> answered_at;
         std::optional<base::time_point> stop_answered_at; ///< from then on the run can't begin
     };
-    struct progress {
-        std::uint32_t percent = 0;
-        base::time_point changed_at;
-    };
     /// What the end of a worker's process says about one run.
     struct run_crash {
         std::optional<milliseconds> ran;
@@ -209,7 +206,8 @@
         base::time_point next_hold;
         std::map<run_key, sent_start> starts;
         std::map<run_key, running_row> running;
-        std::map<run_key, progress> progress_by_run;
+        /// When a run was first listed after another member of its gang was done.
+        std::map<run_key, base::time_point> ending_since;
         std::map<run_key, base::time_point> stop_sent_at; ///< of the last stop
         std::map<run_key, end_kind> reported_ends;        ///< reported, not yet committed
         std::map<job_number, base::time_point> failed_jobs;
@@ -277,6 +275,9 @@
                                  const job_record* job) const;
     void watch_progress(entry& worker, base::time_point now, const running_row& row,
                         const step_spec& step);
+    /// Whether the run, which is no longer wanted, ends by itself because another member of its
+    /// gang is done.
+    [[nodiscard]] bool ends_soon(entry& worker, base::time_point now, const run_key& run) const;
     void update_health(entry& worker, base::time_point now, const run_key& run, end_kind how);
     void record_failure(entry& worker, base::time_point now, job_number job);
 
@@ -284,6 +285,7 @@
     /// Placed runs for which this leader can't have sent a start.
     std::set<run_key> m_unsent;
     const ledger& m_ledger;
+    scheduling::progress_monitor m_progress;
     fencing_token m_last_token; ///< the highest one of a worker
     std::map<base::worker_id, entry> m_workers;
     std::size_t m_unresponsive_workers = 0; ///< count at the last tick
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -359,6 +359,7 @@
         send(order);
     }
     for (const auto& entry : out.log_entries) {
+        m_core_metrics.on_decision(entry);
         log_event line{severity::info, entry.event};
         if (entry.job) {
             line.with("job", jobs::format_job_id(*entry.job));
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -85,6 +85,13 @@
     count("lovagebeam_requests_refused_total", "status", std::to_string(status));
 }
 
+void core_metrics::on_decision(const jobs::decision_log_entry& entry)
+{
+    if (entry.event == "run_stalled" || entry.event == "gang_stalled") {
+        count("lovagebeam_runs_stalled_total", "kind", entry.event);
+    }
+}
+
 void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
                           base::time_point now)
 {
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -21,6 +21,8 @@
     void on_start_call(jobs::start_outcome outcome, base::duration took);
     void on_advice_call(bool is_answered, base::duration took);
     void on_refusal(unsigned status);
+    /// Counts the decisions that have a counter.
+    void on_decision(const jobs::decision_log_entry& entry);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/worker_table.h"
 
 #include "format_run.h"
+#include "scheduling_ids.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -146,37 +147,42 @@
             watch_progress(worker, now, row, job->spec.steps[row.run.task.step]);
             continue;
         }
-        // The members of a gang end by themselves once one of them is done, so they are not stopped
-        // at once.
-        const auto* const task = m_ledger.find(row.run.task);
-        const bool ends_soon =
-            task != nullptr && task->done && task->attempt == row.run.attempt &&
-            now - worker.progress_by_run.try_emplace(row.run, progress{row.percent, now})
-                        .first->second.changed_at <
-                m_settings.gang_end_timeout;
-        if (!ends_soon) {
+        if (!ends_soon(worker, now, row.run)) {
             send_stop(worker, now, row.run);
         }
     }
 }
 
+// The members of a gang end by themselves once one of them is done, so they are not stopped at
+// once.
+bool worker_table::ends_soon(entry& worker, base::time_point now, const run_key& run) const
+{
+    const auto* const task = m_ledger.find(run.task);
+    return task != nullptr && task->done && task->attempt == run.attempt &&
+           now - worker.ending_since.try_emplace(run, now).first->second <
+               m_settings.gang_end_timeout;
+}
+
+// A gang without progress is stopped by stopping one of its members. Its worker isn't at fault: any
+// other member may be the one that the gang waits for.
 void worker_table::watch_progress(entry& worker, base::time_point now, const running_row& row,
                                   const step_spec& step)
 {
-    auto& last =
-        worker.progress_by_run.try_emplace(row.run, progress{row.percent, now}).first->second;
-    if (row.percent != last.percent || step.long_running || step.fills) {
-        last = {row.percent, now};
+    if (step.long_running || step.fills) {
         return;
     }
-    if (now - last.changed_at < m_settings.stall_timeout) {
+    const auto verdict = m_progress.observe(
+        now, {to_run_id(row.run), row.percent, step.gang ? step.tasks : 1, step.estimate});
+    if (verdict == scheduling::progress_verdict::fine) {
         return;
     }
-    m_out.log_entries.push_back({"run_stalled", row.run.task.job,
+    const bool is_gang = verdict == scheduling::progress_verdict::gang_stalled;
+    m_out.log_entries.push_back({is_gang ? "gang_stalled" : "run_stalled", row.run.task.job,
                                  absl::StrCat("run=", format_run(row.run), " worker=",
                                               worker.info.id.str(), " percent=", row.percent)});
-    record_failure(worker, now, row.run.task.job);
-    last.changed_at = now;
+    if (!is_gang) {
+        record_failure(worker, now, row.run.task.job);
+    }
     send_stop(worker, now, row.run);
 }
 
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/worker_table.h"
 
 #include "format_run.h"
+#include "scheduling_ids.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -24,7 +25,7 @@
 
 worker_table::worker_table(worker_settings settings, const ledger& records, fencing_token token,
                            base::time_point now)
-    : m_settings{settings}, m_ledger{records}, m_last_token{token}
+    : m_settings{settings}, m_ledger{records}, m_progress{settings.progress}, m_last_token{token}
 {
     for (const auto& [id, info] : records.workers()) {
         on_worker(now, info);
@@ -334,10 +335,11 @@
 void worker_table::on_end_applied(const run_key& run, const base::worker_id& id)
 {
     m_unsent.erase(run);
+    m_progress.forget(to_run_id(run));
     if (auto* const worker = find(id)) {
         worker->reported_ends.erase(run);
         erase_start(*worker, run);
-        worker->progress_by_run.erase(run);
+        worker->ending_since.erase(run);
     }
 }
 
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -46,11 +46,14 @@
 
 std::uint32_t sim_worker::run::percent(base::time_point now) const
 {
-    if (hangs || waits || ends <= began) {
+    if (hangs || waits || work_ends <= began) {
         return 0;
     }
-    const auto part =
-        std::chrono::duration<double>{now - began} / std::chrono::duration<double>{ends - began};
+    if (work_ends < ends && now >= work_ends) {
+        return 100;
+    }
+    const auto part = std::chrono::duration<double>{now - began} /
+                      std::chrono::duration<double>{work_ends - began};
     return static_cast<std::uint32_t>(std::min(99.0, part * 100));
 }
 
@@ -251,6 +254,10 @@
         return;
     }
     auto out = leader->take(now, wall());
+    for (const auto& entry : out.log_entries) {
+        stalled += entry.event == "run_stalled" || entry.event == "gang_stalled" ? 1 : 0;
+        quarantined += entry.event == "worker_quarantined" ? 1 : 0;
+    }
     for (const auto& [id, batch] : out.batches) {
         commit(id, batch);
     }
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -22,7 +22,9 @@
 struct sim_worker {
     struct run {
         base::time_point began;
-        base::time_point ends; ///< when its work is done, unless it waits
+        base::time_point ends; ///< when it is listed as ended, unless it waits
+        /// When its own work is done; a gang member then waits at 100% for the others.
+        base::time_point work_ends;
         end_kind how = end_kind::done;
         bool waits = false; ///< for the other members of its gang to start
         bool hangs = false;
@@ -34,6 +36,9 @@
     worker_info info;
     base::time_point started; ///< its clock is 0 then
     double clock_speed = 1;
+    double speed = 1; ///< of its tasks
+    /// Until then its tasks take `cold_factor` times as long.
+    base::time_point cold_until;
     std::uint64_t fence = 0;
     worker_time lease{};
     std::map<run_key, run> runs;
@@ -93,6 +98,10 @@
     bool has_faults = false;
     /// Tasks that end the process of each worker that starts them, and how long after the start.
     std::map<task_key, base::duration> crashing_tasks;
+    /// How many times as long as estimated a task runs at speed 1, instead of a random factor.
+    std::map<task_key, double> lengths;
+    std::uint64_t stalled = 0;      ///< lines about stalled runs and gangs
+    std::uint64_t quarantined = 0;  ///< lines about workers
     std::uint64_t crashes = 0;      ///< caused by `crashing_tasks`
     std::uint64_t direct_holds = 0; ///< holds that no other process may pass on
 
@@ -170,6 +179,9 @@
     void end(sim_worker& worker, const run_key& run, end_kind how);
     void advance(sim_worker& worker);
     void check_gang(const run_key& run);
+    /// How long the task's own work takes on the worker from now on.
+    [[nodiscard]] base::duration work_time(const sim_worker& worker, const task_key& task,
+                                           double length) const;
     void check_start(const sim_worker& worker, const run_key& run);
     void check_crash_budget(const run_key& run);
     void crash_worker(const base::worker_id& id, const run_key& run);
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -15,6 +15,8 @@
 
 constexpr auto gang_start_timeout = 3s;
 constexpr worker_time longest_lease{6'000};
+/// A cold worker's tasks take this many times as long.
+constexpr double cold_factor = 3;
 /// A worker lists this many ends at a time.
 constexpr std::size_t max_listed_ends = 500;
 
@@ -90,8 +92,11 @@
     const auto& step = records.find(order.run.task.job)->spec.steps[order.run.task.step];
     sim_worker::run run;
     run.began = now;
-    const auto work = step.estimate * random.between(5, 20) / 10;
-    run.ends = now + work;
+    const auto length = lengths.find(order.run.task);
+    const auto random_length = static_cast<double>(random.between(5, 20)) / 10;
+    run.ends = now + work_time(worker, order.run.task,
+                               length == lengths.end() ? random_length : length->second);
+    run.work_ends = run.ends;
     run.hangs = worker.hangs;
     run.waits = step.gang;
     if (worker.fails_all) {
@@ -113,15 +118,30 @@
     return start_outcome::started;
 }
 
-// Once all members of a gang's attempt have started, they begin to work and end at the same time.
+base::duration sim_cell::work_time(const sim_worker& worker, const task_key& task,
+                                   double length) const
+{
+    const auto& step = records.find(task.job)->spec.steps[task.step];
+    const auto factor = length / worker.speed * (now < worker.cold_until ? cold_factor : 1);
+    return std::chrono::duration_cast<base::duration>(
+        std::chrono::duration<double, std::milli>{step.estimate} * factor);
+}
+
+// Once all members of a gang's attempt have started, they begin to work. They end when the last of
+// them is done.
 void sim_cell::check_gang(const run_key& run)
 {
     const auto& step = records.find(run.task.job)->spec.steps[run.task.step];
     std::vector<sim_worker::run*> members;
+    auto ends = now;
     for (auto& [id, worker] : workers) {
         for (auto& [key, state] : worker.runs) {
             if (step_of(key.task) == step_of(run.task) && key.attempt == run.attempt &&
                 worker.is_up) {
+                const auto length = lengths.find(key.task);
+                state.work_ends =
+                    now + work_time(worker, key.task, length == lengths.end() ? 1 : length->second);
+                ends = std::max(ends, state.hangs ? now + 1h : state.work_ends);
                 members.push_back(&state);
             }
         }
@@ -129,8 +149,8 @@
     if (members.size() < step.tasks) {
         return;
     }
-    const auto ends = now + step.estimate;
     for (auto* member : members) {
+        member->began = now;
         member->waits = false;
         member->ends = ends;
     }
