--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -90,6 +90,13 @@
     m_registry.counter_named("lovagebeam_starts_withheld_total").add(count);
 }
 
+void core_metrics::on_decision(const jobs::decision_log_entry& entry)
+{
+    if (entry.event == "run_stalled" || entry.event == "gang_stalled") {
+        count("lovagebeam_runs_stalled_total", "kind", entry.event);
+    }
+}
+
 void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
                           base::time_point now)
 {
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -23,6 +23,8 @@
     void on_advice_call(bool is_answered, base::duration took);
     void on_refusal(unsigned status);
     void on_withheld_starts(std::uint64_t count);
+    /// Counts the decisions that have a counter.
+    void on_decision(const jobs::decision_log_entry& entry);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
