Plan restarts of long-running tasks before batch work

Cause: a step was late and then expired by the time since its job was accepted. A long-running task whose worker crashed after more than three objectives was therefore planned after all unexpired work, and on a full fleet never.

Change: a step with a long-running task that was placed before is ranked first in its priority, is never late or expired, and is looked at on every pass. Simulated workers run long-running tasks to the end.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -51,7 +51,8 @@
     /// answers calls and keeps up with its workers.
     double max_planning_fraction = 0.2;
     /// A step of priority 1 or lower of which no task could be placed isn't planned again before
-    /// this time has passed or advice on it has come.
+    /// this time has passed or advice on it has come, unless it is the restart of a long-running
+    /// task.
     milliseconds look_interval{40};
     /// How long ended jobs are retained.
     milliseconds retention{150'000};
@@ -150,10 +151,14 @@
         std::uint32_t refused_starts = 0;
         bool is_late = false;
         bool is_expired = false;
+        /// Whether a task of a long-running step must be started again. Such a step is never late
+        /// or expired: the time since its job was accepted says nothing about it.
+        bool is_restart = false;
     };
-    /// Order of planning: unexpired steps first, then by priority, then those that can still be in
-    /// time, then by the end of the objective.
-    using plan_rank = std::tuple<bool, std::uint32_t, bool, base::wall_time, step_key>;
+    /// Order of planning: unexpired steps first, then by priority, then restarts, then those that
+    /// can still be in time, then by the end of the objective. The third value is false for
+    /// restarts.
+    using plan_rank = std::tuple<bool, std::uint32_t, bool, bool, base::wall_time, step_key>;
     using candidate_worker = candidate_list::candidate;
     struct assignment {
         std::uint32_t index = 0;
@@ -192,6 +197,8 @@
     void on_worker_changed(base::time_point now, const base::worker_id& id);
     void add_ready_steps(const job_record& job);
     void add_ready_step(const job_record& job, const step_key& key);
+    /// Ranks a ready step as a restart.
+    void promote_restart(const step_key& key);
     void remove_ready_step(const step_key& key);
     void demote_late_steps(base::wall_time wall);
     static plan_rank rank_of(const step_key& key, const ready_step& ready);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -91,7 +91,7 @@
             at_limit.clear();
         }
         if (unplaceable >= m_settings.planner.max_unplaceable_per_priority) {
-            entry = m_order.lower_bound({is_expired, priority + 1, false, {}, {}});
+            entry = m_order.lower_bound({is_expired, priority + 1, false, false, {}, {}});
             continue;
         }
         // Planning may remove the step.
@@ -137,7 +137,8 @@
 
 base::duration coordinator::look_interval(const ready_step& ready) const
 {
-    return ready.priority == 0 ? base::duration{0}
+    const bool is_always_looked_at = ready.priority == 0 || ready.is_restart;
+    return is_always_looked_at ? base::duration{0}
                                : base::duration{m_settings.planner.look_interval};
 }
 
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -17,6 +17,8 @@
 constexpr worker_time longest_lease{6'000};
 /// A worker lists this many ends at a time.
 constexpr std::size_t max_listed_ends = 500;
+/// How long tasks of long-running steps run: to the end of the simulation.
+constexpr auto long_run = 24h;
 
 } // namespace
 
@@ -91,7 +93,7 @@
     sim_worker::run run;
     run.began = now;
     const auto work = step.estimate * random.between(5, 20) / 10;
-    run.ends = now + work;
+    run.ends = now + (step.long_running ? base::duration{long_run} : base::duration{work});
     run.hangs = worker.hangs;
     run.waits = step.gang;
     if (worker.fails_all) {
