--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -36,6 +36,10 @@
     /// After this many steps of one priority that could not be placed, a planning pass continues
     /// with the next priority, so that its cost doesn't grow with the backlog.
     std::uint32_t max_unplaceable_per_priority = 32;
+    /// After this many steps of one priority that wait for the limit of their account, a planning
+    /// pass passes over the account's other steps of the priority. They don't count as steps that
+    /// could not be placed, since the capacity is there for other accounts.
+    std::uint32_t max_at_limit_per_account = 32;
     /// How often advice on further workers is requested for a step that fits on no allowed worker.
     milliseconds advice_query_interval{200};
     /// Minimum interval between planning passes, so that the events in between share one pass.
@@ -48,7 +52,8 @@
     /// answers calls and keeps up with its workers.
     double max_planning_fraction = 0.2;
     /// A step of priority 1 or lower of which no task could be placed isn't planned again before
-    /// this time has passed or advice on it has come.
+    /// this time has passed or advice on it has come, unless it is the restart of a long-running
+    /// task.
     milliseconds look_interval{40};
     /// How long ended jobs are retained.
     milliseconds retention{150'000};
@@ -141,6 +146,7 @@
     struct ready_step {
         bool is_gang = false;
         std::uint32_t priority = 0;
+        std::string account;
         base::wall_time due_by;     ///< when the job's objective ends
         base::wall_time late_at;    ///< a start after this time is too late for the objective
         base::wall_time expires_at; ///< from then on the job earns nothing
@@ -151,10 +157,14 @@
         std::uint32_t refused_starts = 0;
         bool is_late = false;
         bool is_expired = false;
+        /// Whether a task of a long-running step must be started again. Such a step is never late
+        /// or expired: the time since its job was accepted says nothing about it.
+        bool is_restart = false;
     };
-    /// Order of planning: unexpired steps first, then by priority, then those that can still be in
-    /// time, then by the end of the objective.
-    using plan_rank = std::tuple<bool, std::uint32_t, bool, base::wall_time, step_key>;
+    /// Order of planning: unexpired steps first, then by priority, then restarts, then those that
+    /// can still be in time, then by the end of the objective. The third value is false for
+    /// restarts.
+    using plan_rank = std::tuple<bool, std::uint32_t, bool, bool, base::wall_time, step_key>;
     using candidate_worker = candidate_list::candidate;
     struct assignment {
         std::uint32_t index = 0;
@@ -198,6 +208,8 @@
     void on_worker_changed(base::time_point now, const base::worker_id& id);
     void add_ready_steps(const job_record& job);
     void add_ready_step(const job_record& job, const step_key& key);
+    /// Ranks a ready step as a restart.
+    void promote_restart(const step_key& key);
     void remove_ready_step(const step_key& key);
     void demote_late_steps(base::wall_time wall);
     static plan_rank rank_of(const step_key& key, const ready_step& ready);
@@ -248,8 +260,16 @@
     static jobs::size total_size(const planned_step& step);
     /// Plans the steps about which the advice service has answered since the last pass.
     void plan_answered_steps(base::time_point now);
-    /// Returns whether no task of the step could be placed for lack of capacity.
-    bool plan_step(base::time_point now, const step_key& key);
+    /// Why no task of a step could be placed.
+    enum class obstacle {
+        none, ///< some could, or the step waits for something else than capacity
+        no_capacity,
+        account_limit,
+    };
+    obstacle plan_step(base::time_point now, const step_key& key);
+    /// Whether the limit of the account keeps each task of the step, or its whole gang, from being
+    /// placed. Such a step gets advice for when the account may go on.
+    bool is_stopped_by_limit(const planned_step& step);
     std::vector<assignment> assign(base::time_point now, const planned_step& step,
                                    ticket_rule rule);
     std::vector<assignment> assign_in_one_rack(base::time_point now, const planned_step& step,
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -19,6 +19,8 @@
 constexpr double cold_factor = 3;
 /// A worker lists this many ends at a time.
 constexpr std::size_t max_listed_ends = 500;
+/// How long tasks of long-running steps run: to the end of the simulation.
+constexpr auto long_run = 24h;
 
 } // namespace
 
@@ -96,6 +98,9 @@
     const auto random_length = static_cast<double>(random.between(5, 20)) / 10;
     run.ends = now + work_time(worker, order.run.task,
                                length == lengths.end() ? random_length : length->second);
+    if (step.long_running) {
+        run.ends = now + long_run;
+    }
     run.work_ends = run.ends;
     run.hangs = worker.hangs;
     run.waits = step.gang;
