Correct the estimates of durations, and count the whole chain for lateness

Cause: a step was late once its own estimate no longer fitted before the end of the objective, so the first steps of long chains were served before jobs that could still be in time. Estimates of callers that are wrong by a common factor moved objectives, lateness and expiry by the same factor.

The leader observes runs listed as done from their confirmed start on, except those resumed from a checkpoint or away from their data. A step is late when the rest of its chain, corrected, with an advice call for each step, no longer fits.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -5,6 +5,7 @@
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
 #include "lovagebeam/jobs/worker_table.h"
+#include "lovagebeam/scheduling/duration_estimates.h"
 
 #include "jobs.pb.h"
 
@@ -136,7 +137,7 @@
         bool is_gang = false;
         std::uint32_t priority = 0;
         base::wall_time due_by;     ///< when the job's objective ends
-        base::wall_time late_at;    ///< a start after this time is too late for the objective
+        base::wall_time late_at;    ///< the rest of the job, begun later, ends after the objective
         base::wall_time expires_at; ///< from then on the job earns nothing
         base::time_point not_before;
         base::time_point next_look;        ///< see `planner_settings::look_interval`
@@ -199,6 +200,8 @@
     void stop_job(base::time_point now, const job_record& job);
     void send_start(base::time_point now, const run_key& run);
     void collect_worker_output(base::time_point now);
+    /// Learns from a run that a worker listed as done.
+    void observe_duration(const worker_table::end_report& end);
     void on_start_confirmed(base::time_point now, const worker_table::confirmed_start& start);
     /// Adds the jobs that have begun to a batch that is to be committed anyway, or to one of their
     /// own after a while.
@@ -301,6 +304,7 @@
     const ledger& m_ledger;
     worker_table m_workers;
     advice_scheduler m_advice;
+    scheduling::duration_estimates m_estimates;
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
     std::set<plan_rank> m_order; ///< of the ready steps
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -88,6 +88,9 @@
         /// For `crashed`: time from the start to the end of the worker's process, if known.
         std::optional<milliseconds> ran;
         crash_verdict verdict = crash_verdict::unrelated;
+        /// Time from the confirmed start to the listed end, if this leader has seen both and the
+        /// run was neither resumed from a checkpoint nor away from the rack of its data.
+        std::optional<base::duration> took = std::nullopt;
     };
     /// The ends of one worker up to `number` are committed once `ends` is.
     struct cursor_move {
@@ -269,6 +272,9 @@
                    const hold_order& order, hold_outcome outcome, const hold_answer& answer);
     void read_failed_hold(entry& worker, base::time_point now, hold_outcome outcome);
     void read_finished(entry& worker, base::time_point now, const hold_answer& answer);
+    /// See `end_report::took`.
+    [[nodiscard]] std::optional<base::duration>
+    duration_of(const entry& worker, base::time_point now, const run_key& run) const;
     void read_running(entry& worker, base::time_point now, const hold_answer& answer);
     /// Ends the placements that the worker's lists lack and that can't begin any more.
     void resolve_placements(entry& worker, base::time_point now, base::time_point sent,
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/coordinator.h"
 
 #include "format_run.h"
+#include "objectives.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -212,9 +213,11 @@
     ready_step ready;
     ready.is_gang = job.spec.steps[key.step].gang;
     ready.priority = job.spec.priority;
-    ready.due_by = objective_end(job.spec, from, 1);
-    ready.late_at = ready.due_by - job.spec.steps[key.step].estimate;
-    ready.expires_at = objective_end(job.spec, from, m_settings.planner.expiry_objectives);
+    const auto chains = remaining_chains(job.spec, advice_time(advice_for(job.spec)), m_estimates);
+    const auto longest = longest_chain(chains);
+    ready.due_by = from + objective_of(job.spec, longest, 1);
+    ready.late_at = ready.due_by - chains[key.step];
+    ready.expires_at = from + objective_of(job.spec, longest, m_settings.planner.expiry_objectives);
     if (m_ready.emplace(key, ready).second) {
         m_order.insert(rank_of(key, ready));
         m_demotions.emplace(ready.late_at, key);
@@ -416,6 +419,7 @@
         on_start_confirmed(now, start);
     }
     for (auto& end : output.ends) {
+        observe_duration(end);
         auto& operation = *add_operation().mutable_end();
         *operation.mutable_task() = jobs::to_proto(end.run);
         operation.set_worker(end.worker.str());
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/coordinator.h"
 
 #include "labels.h"
+#include "objectives.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -10,36 +11,6 @@
 #include <utility>
 
 namespace lovagebeam::jobs {
-namespace {
-
-/// Number of workers per call that an objective's allowance for advice assumes.
-constexpr std::int64_t advised_workers_in_objective = 30;
-
-milliseconds advice_time(const advice_policy* policy)
-{
-    return policy == nullptr
-               ? milliseconds{0}
-               : policy->decision + std::chrono::duration_cast<milliseconds>(
-                                        policy->per_worker * advised_workers_in_objective);
-}
-
-/// Duration of the critical path: the longest chain of steps that depend on each other.
-milliseconds longest_chain(const job_spec& job, milliseconds advice)
-{
-    std::vector<milliseconds> ends;
-    milliseconds longest{0};
-    for (const auto& step : job.steps) {
-        milliseconds begin{0};
-        for (const auto earlier : step.depends_on) {
-            begin = std::max(begin, ends[earlier]);
-        }
-        ends.push_back(begin + advice + step.estimate);
-        longest = std::max(longest, ends.back());
-    }
-    return longest;
-}
-
-} // namespace
 
 // Workers ask for tickets of a job that was accepted on a queue which has been removed since.
 const advice_policy* coordinator::advice_for(const job_spec& job) const
@@ -58,10 +29,8 @@
 base::wall_time coordinator::objective_end(const job_spec& job, base::wall_time from,
                                            double objectives) const
 {
-    const auto chain = longest_chain(job, advice_time(advice_for(job)));
-    const auto objective = job.slack_factor * static_cast<double>(chain.count()) +
-                           static_cast<double>(job.target_latency.count());
-    return from + milliseconds{static_cast<std::int64_t>(objective * objectives)};
+    const auto chains = remaining_chains(job, advice_time(advice_for(job)), m_estimates);
+    return from + objective_of(job, longest_chain(chains), objectives);
 }
 
 void coordinator::update_candidate(base::time_point now, const base::worker_id& id)
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -113,7 +113,8 @@
         if (task != nullptr && task->placed && task->attempt == row.run.attempt &&
             task->worker == worker.info.id) {
             needs_commit = true;
-            report(worker, row.run, row.how, row.checkpoint);
+            report(worker, {row.run, worker.info.id, row.how, row.checkpoint, std::nullopt,
+                            crash_verdict::unrelated, duration_of(worker, now, row.run)});
             update_health(worker, now, row.run, row.how);
         }
     }
@@ -127,6 +128,19 @@
     m_out.cursors.push_back({worker.info.id, worker.info.started_at, worker.last_listed_end});
 }
 
+std::optional<base::duration> worker_table::duration_of(const entry& worker, base::time_point now,
+                                                        const run_key& run) const
+{
+    const auto start = worker.starts.find(run);
+    const auto& step = m_ledger.find(run.task.job)->spec.steps[run.task.step];
+    const bool is_remote = !step.preferred_rack.empty() && step.preferred_rack != worker.info.rack;
+    if (start == worker.starts.end() || !start->second.answered_at || is_remote ||
+        !m_ledger.find(run.task)->checkpoint.empty()) {
+        return std::nullopt;
+    }
+    return now - *start->second.answered_at;
+}
+
 bool worker_table::is_wanted(const entry& worker, const run_key& run, const job_record* job) const
 {
     const auto* const task = m_ledger.find(run.task);
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -67,6 +67,7 @@
     base::duration least_delay = 2s; ///< of late orders
     base::duration longest_delay = 12s;
     double fail_run = 0;               ///< the task itself fails
+    double work_factor = 1;            ///< of the duration of tasks that aren't in a gang
     bool with_advice = false;          ///< workers refuse starts without a ticket
     std::uint32_t agents = 4;          ///< hosts that call the advice service
     std::uint32_t allowed_of_four = 3; ///< how many of four workers the advice service allows
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -90,7 +90,8 @@
     const auto& step = records.find(order.run.task.job)->spec.steps[order.run.task.step];
     sim_worker::run run;
     run.began = now;
-    const auto work = step.estimate * random.between(5, 20) / 10;
+    const auto work = std::chrono::duration_cast<base::duration>(
+        step.estimate * random.between(5, 20) / 10 * settings.work_factor);
     run.ends = now + work;
     run.hangs = worker.hangs;
     run.waits = step.gang;
