--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -97,7 +97,8 @@
     const auto length = lengths.find(order.run.task);
     const auto random_length = static_cast<double>(random.between(5, 20)) / 10;
     run.ends = now + work_time(worker, order.run.task,
-                               length == lengths.end() ? random_length : length->second);
+                               length == lengths.end() ? random_length * settings.work_factor
+                                                       : length->second);
     if (step.long_running) {
         run.ends = now + long_run;
     }
