Add lovagebeamctl evacuate, and describe evacuations

Cause: operators of the product had no command of their own for evacuations, and no page described them.

Change: lovagebeamctl evacuate DOMAIN [--withdraw] and evacuations call the internal port of a core process without a credential and follow redirects to the leader.

--- a/programs/lovagebeamctl/api_client.h
+++ b/programs/lovagebeamctl/api_client.h
@@ -10,7 +10,8 @@
 
 namespace lovagebeam::ctl {
 
-/// A blocking client of the operators' HTTP interface of one host.
+/// A blocking client of the operators' HTTP interface of one host. Without a credential, as on the
+/// internal port of a core process, it follows redirects to the leader.
 class api_client {
 public:
     api_client(targets::endpoint host, std::string credential);
@@ -25,6 +26,9 @@
                                           const std::string& body = "");
 
 private:
+    targets::http_result send(const targets::endpoint& to, const std::string& method,
+                              const std::string& path, const std::string& body);
+
     targets::endpoint m_host;
     std::string m_credential;
     targets::http_client m_client;
--- a/programs/lovagebeamctl/commands.cpp
+++ b/programs/lovagebeamctl/commands.cpp
@@ -5,6 +5,7 @@
 #include "lovagebeam/targets/protocol.h"
 
 #include "config_diff.h"
+#include "evacuation_commands.h"
 #include "table.h"
 
 #include <boost/json.hpp>
@@ -253,18 +254,23 @@
 
 std::string command_help()
 {
-    std::string out = "Commands:\n"
-                      "  config show             the active configuration\n"
-                      "  config diff FILE        the changes that applying FILE would make\n"
-                      "  config apply FILE       replace the defaults and exceptions\n"
-                      "  keys list               team keys, without their secrets\n"
-                      "  keys give TEAM          create a key; it is shown only once\n"
-                      "  keys withdraw KEY_ID    revoke a key\n"
-                      "  drain host|target ID    assign it no new work\n"
-                      "  undrain host|target ID  assign it new work again\n"
-                      "  explain job ID          why a job is in its current state\n"
-                      "  explain teams           what each team runs compared with its share\n"
-                      "  explain-log ID FILE...  the log lines of one job or request, in order\n";
+    std::string out =
+        "Commands:\n"
+        "  config show             the active configuration\n"
+        "  config diff FILE        the changes that applying FILE would make\n"
+        "  config apply FILE       replace the defaults and exceptions\n"
+        "  keys list               team keys, without their secrets\n"
+        "  keys give TEAM          create a key; it is shown only once\n"
+        "  keys withdraw KEY_ID    revoke a key\n"
+        "  drain host|target ID    assign it no new work\n"
+        "  undrain host|target ID  assign it new work again\n"
+        "  evacuate DOMAIN         start no more tasks in a failure domain of the job\n"
+        "                          system; --host is a core process's internal port\n"
+        "  evacuate DOMAIN --withdraw  start tasks there again\n"
+        "  evacuations             the failure domains that are evacuated or were\n"
+        "  explain job ID          why a job is in its current state\n"
+        "  explain teams           what each team runs compared with its share\n"
+        "  explain-log ID FILE...  the log lines of one job or request, in order\n";
     for (const auto& command : list_table) {
         out += "  ";
         out += command.name;
@@ -292,6 +298,9 @@
     if (name == "drain" || name == "undrain") {
         return drain_command(client, options, arguments);
     }
+    if (is_evacuation_command(name)) {
+        return run_evacuation_command(client, options, arguments);
+    }
     if (name == "explain") {
         return explain_command(client, options, arguments);
     }
--- a/programs/lovagebeamctl/commands.h
+++ b/programs/lovagebeamctl/commands.h
@@ -19,6 +19,10 @@
     std::string operation;
     /// The configuration version on which a change is based; -1 for the current one.
     std::int64_t expected_version = -1;
+    /// The revision of the failure domain's record that an evacuation is based on; 0 for any.
+    std::int64_t expected_revision = 0;
+    /// Whether `evacuate` withdraws an evacuation.
+    bool is_withdrawal = false;
 };
 
 /// Returns the help text of all commands.
--- a/programs/lovagebeamctl/main.cpp
+++ b/programs/lovagebeamctl/main.cpp
@@ -4,6 +4,7 @@
 
 #include "api_client.h"
 #include "commands.h"
+#include "evacuation_commands.h"
 
 #include <boost/program_options.hpp>
 
@@ -65,6 +66,9 @@
         "identifies a change, so that it can safely be sent again");
     add("expected-version", po::value(&result.call.expected_version),
         "the version that the change is based on; the current one if not given");
+    add("expected-revision", po::value(&result.call.expected_revision),
+        "the revision of the record that an evacuation is based on; any if not given");
+    add("withdraw", po::bool_switch(&result.call.is_withdrawal), "withdraw an evacuation");
     po::options_description all = visible;
     all.add_options()("words", po::value(&result.arguments));
     po::positional_options_description positional;
@@ -145,7 +149,9 @@
     if (parsed->arguments.front() == "explain-log") {
         return explain_log(parsed->arguments);
     }
-    const auto credential = settings::load_secret(parsed->credential_file);
+    const auto credential = ctl::is_evacuation_command(parsed->arguments.front())
+                                ? absl::StatusOr<std::string>{""}
+                                : settings::load_secret(parsed->credential_file);
     if (!credential.ok()) {
         std::cerr << "lovagebeamctl: " << credential.status().message() << '\n';
         return exit_usage;
