--- a/soak/fleet.py
+++ b/soak/fleet.py
@@ -30,12 +30,13 @@
         self.starts = 0
         self.cancelled = {}  # job -> time when the cancel was acknowledged
         self.known_jobs = set()
+        self.evacuated = {}  # failure domain -> time from which on no task may start there
         self.violations = []
 
     def report_violation(self, text):
         self.violations.append(f"{time.strftime('%H:%M:%S')} {text}")
 
-    def on_start(self, worker, task, attempt):
+    def on_start(self, worker, task, attempt, zone):
         job = task.split(".")[0]
         with self.lock:
             self.starts += 1
@@ -48,6 +49,8 @@
                 self.report_violation(f"UNASKED {task}#{attempt} on {worker}")
             if time.monotonic() - self.cancelled.get(job, time.monotonic()) > 3:
                 self.report_violation(f"UNASKED {task}#{attempt} on {worker}, its job is cancelled")
+            if time.monotonic() > self.evacuated.get(zone, time.monotonic()):
+                self.report_violation(f"EVACUATED {task}#{attempt} on {worker} in {zone}")
             others[worker] = attempt
 
     def on_end(self, worker, task):
@@ -70,7 +73,8 @@
 class Worker:
     """A simulated worker. `advertised` is the address of the proxy in front of it."""
 
-    def __init__(self, name, address, advertised, checker, capacity):
+    def __init__(self, name, address, advertised, checker, capacity, zone="z1"):
+        self.zone = zone
         self.name, self.address, self.advertised = name, address, advertised
         self.checker, self.capacity = checker, capacity
         self.lock = threading.Condition()
@@ -204,7 +208,7 @@
         used = sum(1 for _ in self.runs)
         if used > self.capacity:
             self.checker.report_violation(f"LIMIT {used} of {self.capacity} tasks on {self.name}")
-        self.checker.on_start(self.name, task, attempt)
+        self.checker.on_start(self.name, task, attempt, self.zone)
         return 200, answer
 
     def stop(self, body):
@@ -241,7 +245,7 @@
     def heartbeat(self):
         with self.lock:
             self.sequence += 1
-            return {"service": "pool", "address": "%s:%d" % self.advertised, "zone": "z1",
+            return {"service": "pool", "address": "%s:%d" % self.advertised, "zone": self.zone,
                     "version": "v1", "slots": 8, "state": "ready", "coldRemainingMs": 0,
                     "capacity": {"cpu": self.capacity * 1000, "memoryRequestMb": 65536, "gpu": 0},
                     "labels": ["a", "r1"], "clockMs": self.clock(), "sequence": self.sequence,
--- a/soak/soak.py
+++ b/soak/soak.py
@@ -25,6 +25,13 @@
 CONVERGENCE_TIMEOUT_SECONDS = 60
 MAX_PAUSE_SECONDS = 3.0
 SERVICE_TASKS = 2
+ZONES = 4  # failure domains of the workers
+# More tasks on each worker, so that the callers' load fits beside an evacuated failure domain.
+SPARE_TASKS = 3
+# From this long after the acknowledgement of an evacuation on, no task may start in the failure domain.
+EVACUATE_SECONDS = 5.0
+# An operator sends an order that isn't acknowledged again for this long.
+ACK_SECONDS = 5.0
 # Until its handlers are installed, SIGHUP ends a process.
 STARTUP_SECONDS = 0.5
 
@@ -108,6 +115,8 @@
         self.folder = tempfile.mkdtemp(prefix=f"soak-{options.seed}-")
         self.checker = InvariantChecker()
         self.is_over = False
+        self.are_faults_over = False
+        self.evacuations = 0  # that were acknowledged
         self.core_fault_lock = threading.Lock()  # at most one core process is faulty at a time
         self.accepted, self.refused, self.open_jobs = {}, {}, set()
         self.job_states, self.pending = {}, {}
@@ -120,8 +129,8 @@
         for i in range(options.workers):
             inner, outer = (f"127.{options.net}.2.{i + 1}", 8080), (f"127.{options.net}.4.{i + 1}", 8080)
             # The service takes as much as two workers have more, so that the callers' load stays what it was.
-            capacity = 9 if i < SERVICE_TASKS else 8
-            self.workers.append(Worker(f"w{i}", inner, outer, self.checker, capacity))
+            capacity = SPARE_TASKS + (9 if i < SERVICE_TASKS else 8)
+            self.workers.append(Worker(f"w{i}", inner, outer, self.checker, capacity, f"z{i % ZONES + 1}"))
             self.proxies.append(Proxy(outer, inner))
 
     # Requests of the platform: heartbeats of workers and configuration changes.
@@ -144,7 +153,8 @@
     def call_once(address, method, path, body):
         connection = http.client.HTTPConnection(*address, timeout=1)
         try:
-            connection.request(method, path, json.dumps(body), {"Content-Type": "application/json"})
+            connection.request(method, path, None if body is None else json.dumps(body),
+                               {"Content-Type": "application/json"})
             response = connection.getresponse()
             response.read()
             return response.status, response.getheader("Location")
@@ -169,6 +179,29 @@
             else:
                 time.sleep(0.3)
 
+    def order_evacuation(self, method, zone):
+        """Returns whether the order was acknowledged within the time that an operator repeats it."""
+        end = time.monotonic() + ACK_SECONDS
+        while time.monotonic() < end:
+            if self.call_control(method, f"/lovagebeam/evacuate/{zone}", None):
+                return True
+            time.sleep(0.05)
+        return False
+
+    def evacuation_loop(self):
+        """Evacuates one failure domain at a time and withdraws the order some seconds later, until the faults end."""
+        while not self.is_over and not self.are_faults_over:
+            time.sleep(self.random.uniform(1, 4))
+            zone = f"z{self.random.randint(1, ZONES)}"
+            if self.order_evacuation("POST", zone):
+                self.evacuations += 1
+                self.checker.evacuated[zone] = time.monotonic() + EVACUATE_SECONDS
+                time.sleep(self.random.uniform(1, 15))
+            # From the first attempt on the withdrawal may be in force.
+            self.checker.evacuated.pop(zone, None)
+            while not self.is_over and not self.order_evacuation("DELETE", zone):
+                pass
+
     # Callers. Each reuses its connection until the connection fails or closes.
 
     def caller_loop(self, number):
@@ -383,7 +416,9 @@
                    for i in range(self.options.callers)]
         for caller in callers:
             caller.start()
+        threading.Thread(target=self.evacuation_loop, daemon=True).start()
         self.fault_loop()
+        self.are_faults_over = True
         time.sleep(10)  # lets active faults end
         for proxy in self.proxies:
             proxy.clear_faults()
@@ -470,7 +505,7 @@
         soak.close()
     checker = soak.checker
     print(f"seed={options.seed} accepted={len(soak.accepted)} refused={len(soak.refused)} "
-          f"starts={checker.starts} violations={len(checker.violations)}")
+          f"starts={checker.starts} evacuations={soak.evacuations} violations={len(checker.violations)}")
     for violation in checker.violations[:20]:
         print(violation)
     if checker.violations or not soak.accepted:
