Refuse jobs that can't end within three objectives, with a Retry-After that holds

Change: the coordinator counts the work that waits of each pool and priority by the end of the objective, and scheduling::admission_forecast derives from it and from the rate at which the pool frees processors when a new job would start. caller_service asks it before the commit and answers 429 with Retry-After. Refused jobs keep a place for the time after it. Jobs that are accepted, or whose commit is pending or unconfirmed, are never refused, nor are scheduled and long-running ones, nor anything while processors are free for the job or in the first 3 s of a leader.

--- a/include/lovagebeam/jobs/candidate_list.h
+++ b/include/lovagebeam/jobs/candidate_list.h
@@ -28,6 +28,7 @@
         std::string name;
         size free;                     ///< of the usable workers
         size capacity;                 ///< of the usable workers
+        size planned;                  ///< of the usable workers, as in `candidate::planned`
         std::int64_t largest_free = 0; ///< millicores on one worker when the last pass began
     };
 
@@ -50,6 +51,7 @@
     /// All entries, also of workers that aren't usable.
     [[nodiscard]] std::deque<candidate>& all() { return m_candidates; }
     [[nodiscard]] const std::deque<candidate>& all() const { return m_candidates; }
+    [[nodiscard]] const std::vector<pool_total>& pools() const { return m_pools; }
     /// Returns nullptr for a pool without workers.
     [[nodiscard]] const pool_total* pool(const std::string& name) const;
 
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -5,6 +5,7 @@
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
 #include "lovagebeam/jobs/worker_table.h"
+#include "lovagebeam/scheduling/admission_forecast.h"
 #include "lovagebeam/scheduling/duration_estimates.h"
 
 #include "jobs.pb.h"
@@ -76,6 +77,13 @@
     planner_settings planner;
 };
 
+/// The end of a job whose end was forecast when it was admitted.
+struct forecast_outcome {
+    std::string queue;
+    milliseconds error{};      ///< the actual end minus the forecast one
+    bool is_worthless = false; ///< it ended too late to be worth anything
+};
+
 /// Actions that the coordinator requests. Only the order of `batches` matters.
 struct coordinator_output {
     /// Operations to commit as one command each. Call `on_batch_committed` after the commit; if a
@@ -86,6 +94,7 @@
     std::vector<hold_order> holds;
     std::vector<advice_order> advice;
     std::vector<decision_log_entry> log_entries;
+    std::vector<forecast_outcome> forecasts;
 };
 
 /// The leader's job scheduler: decides which task starts where and when, gets the decision
@@ -105,6 +114,10 @@
     void on_agent_contact(base::time_point now, const base::node_id& agent);
     /// Requests advice on the first steps of a job while the job is being committed.
     void on_submission(base::wall_time wall, const job_spec& spec);
+    /// Forecasts when a new job would end and whether it is to be refused for that. An admitted job
+    /// counts as waiting work from then on. Admits a job that the ledger has.
+    scheduling::admission_forecast::verdict
+    judge_admission(base::time_point now, base::wall_time wall, const job_spec& spec);
     /// To be called after the ledger applied `batch`.
     void on_applied(base::time_point now, const proto::jobs::Batch& batch);
     void on_batch_committed(std::uint64_t id);
@@ -129,6 +142,8 @@
 
     [[nodiscard]] const worker_table& workers() const { return m_workers; }
     [[nodiscard]] std::size_t ready_step_count() const { return m_ready.size(); }
+    [[nodiscard]] const scheduling::duration_estimates& estimates() const { return m_estimates; }
+    [[nodiscard]] const scheduling::admission_forecast& forecast() const { return m_forecast; }
     /// Number of runs whose placement is decided but not committed yet.
     [[nodiscard]] std::size_t planned_run_count() const { return m_planned.size(); }
 
@@ -209,6 +224,14 @@
     void add_due_steps(base::wall_time wall);
     proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
 
+    // Admission.
+    /// Counts the waiting work of the step, and of the whole occurrence if it is new.
+    void count_work(const job_record& job, const step_key& key);
+    void count_admitted(base::time_point now, const job_spec& spec, base::wall_time due);
+    void stop_counting(const job_record& job);
+    void update_forecast(base::time_point now, base::wall_time wall);
+    [[nodiscard]] scheduling::admission_forecast::supply supply_of(const std::string& pool) const;
+
     // Planning.
     void plan(base::time_point now);
     [[nodiscard]] base::duration planning_interval() const;
@@ -305,6 +328,11 @@
     worker_table m_workers;
     advice_scheduler m_advice;
     scheduling::duration_estimates m_estimates;
+    scheduling::admission_forecast m_forecast;
+    /// Jobs that were admitted and may not be in the ledger yet, with the time until which they
+    /// count.
+    std::deque<std::pair<base::time_point, job_number>> m_admitted;
+    base::time_point m_next_forecast;
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
     std::set<plan_rank> m_order; ///< of the ready steps
--- a/src/controlplane/caller_service.cpp
+++ b/src/controlplane/caller_service.cpp
@@ -23,6 +23,7 @@
 constexpr unsigned status_not_found = 404;
 constexpr unsigned status_method_not_allowed = 405;
 constexpr unsigned status_gone = 410;
+constexpr unsigned status_too_many_requests = 429;
 constexpr unsigned status_unavailable = 503;
 
 /// Hexadecimal digits of a job's id.
@@ -34,6 +35,8 @@
 constexpr std::chrono::milliseconds overload_retry_delay{2'000};
 /// The first configuration may have arrived by then.
 constexpr std::chrono::milliseconds unconfigured_retry_delay{500};
+/// Bounds the memory for unconfirmed submissions. More than a minute without commits leaves.
+constexpr std::size_t max_unconfirmed = 50'000;
 
 pb::CallerAnswer answer_with(unsigned status, std::string body = "{}")
 {
@@ -189,6 +192,9 @@
     spec->id = resolved.job;
     spec->account = resolved.account;
     copy_settings(*resolved.queue, *spec);
+    if (refuse_by_forecast(now, *spec, reply)) {
+        return;
+    }
     m_dependencies.submitted(now, *spec);
     proto::jobs::Operation operation;
     *operation.mutable_accept()->mutable_spec() = jobs::to_proto(*spec);
@@ -213,12 +219,45 @@
                           });
 }
 
+bool caller_service::refuse_by_forecast(base::time_point now, const jobs::job_spec& spec,
+                                        const done& reply)
+{
+    const auto verdict = m_dependencies.judge(now, spec);
+    if (verdict.is_admitted || m_unconfirmed.contains(spec.id)) {
+        return false;
+    }
+    auto refusal = answer_with(status_too_many_requests);
+    refusal.set_retry_after_ms(verdict.retry_after.count());
+    // Core-seconds are the unit in which operators know the work of jobs.
+    constexpr std::int64_t millicore_ms_per_core_second = 1'000'000;
+    log_event{severity::info, "job_refused"}
+        .with("job", jobs::format_job_id(spec.id))
+        .with("why", "forecast")
+        .with("queue", spec.queue)
+        .with("account", spec.account)
+        .with("priority", spec.priority)
+        .with("expected_end_ms", verdict.expected_end.count())
+        .with("objective_ms", verdict.objective.count())
+        .with("retry_after_ms", verdict.retry_after.count())
+        .with("core_seconds_ahead", verdict.work_ahead / millicore_ms_per_core_second)
+        .with("millicores_freed", verdict.rate)
+        .write();
+    reply(std::move(refusal));
+    return true;
+}
+
 void caller_service::finish_submission(jobs::job_number id, commit_outcome outcome)
 {
     const auto found = m_submissions.find(id);
     if (found == m_submissions.end()) {
         return;
     }
+    if (outcome == commit_outcome::unconfirmed && m_unconfirmed.size() < max_unconfirmed) {
+        m_unconfirmed.insert(id);
+    }
+    else if (outcome == commit_outcome::committed) {
+        m_unconfirmed.erase(id);
+    }
     const auto waiting = std::move(found->second);
     m_submissions.erase(found);
     for (const auto& reply : waiting) {
--- a/src/controlplane/caller_service.h
+++ b/src/controlplane/caller_service.h
@@ -2,6 +2,7 @@
 
 #include "lovagebeam/controlplane/ports.h"
 #include "lovagebeam/jobs/ledger.h"
+#include "lovagebeam/scheduling/admission_forecast.h"
 
 #include "controlplane.pb.h"
 #include "state_watch.h"
@@ -9,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -40,6 +42,11 @@
         std::function<void(base::time_point, const jobs::job_spec&)> submitted;
         /// Returns the time of day.
         std::function<base::wall_time(base::time_point)> wall;
+        /// Judges whether a valid submission of a new job could end in time. Called before
+        /// `submitted`; a job that it refuses isn't proposed.
+        std::function<scheduling::admission_forecast::verdict(base::time_point,
+                                                              const jobs::job_spec&)>
+            judge;
     };
 
     explicit caller_service(dependencies deps) : m_dependencies{std::move(deps)} {}
@@ -69,6 +76,8 @@
 
     void submit(base::time_point now, base::duration waited, const resolved_call& resolved,
                 std::string_view body, done reply);
+    /// Answers a submission whose job could not end in time. Returns whether it did.
+    bool refuse_by_forecast(base::time_point now, const jobs::job_spec& spec, const done& reply);
     void answer_query(base::time_point now, const resolved_call& resolved, const done& reply);
     void answer_state(jobs::job_number id, const done& reply) const;
     void cancel(base::time_point now, const resolved_call& resolved, done reply);
@@ -79,6 +88,9 @@
     /// Submissions with a pending commit. A job that is submitted twice is committed once, and both
     /// requests get its result.
     std::map<jobs::job_number, std::vector<done>> m_submissions;
+    /// Submissions whose commit wasn't confirmed. They may still be committed, so they aren't
+    /// refused when they are sent again.
+    std::set<jobs::job_number> m_unconfirmed;
 };
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -91,7 +91,15 @@
                          m_coordinator->on_submission(wall(now), spec);
                      }
                  },
-                 [this](base::time_point now) { return wall(now); }}}
+                 [this](base::time_point now) { return wall(now); },
+                 [this](base::time_point now, const jobs::job_spec& spec) {
+                     if (!m_coordinator) {
+                         return scheduling::admission_forecast::verdict{};
+                     }
+                     auto verdict = m_coordinator->judge_admission(now, wall(now), spec);
+                     m_core_metrics.on_judged(spec.queue, verdict.is_admitted);
+                     return verdict;
+                 }}}
 {
     load_catalog();
 }
@@ -358,6 +366,9 @@
     for (const auto& order : out.advice) {
         send(order);
     }
+    for (const auto& outcome : out.forecasts) {
+        m_core_metrics.on_forecast(outcome);
+    }
     for (const auto& entry : out.log_entries) {
         log_event line{severity::info, entry.event};
         if (entry.job) {
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -85,6 +85,27 @@
     count("lovagebeam_requests_refused_total", "status", std::to_string(status));
 }
 
+void core_metrics::on_judged(std::string_view queue, bool is_admitted)
+{
+    if (!is_admitted) {
+        count("lovagebeam_jobs_refused_total", "queue", queue);
+    }
+}
+
+// A histogram has no negative values, so forecasts that were too late have one of their own.
+void core_metrics::on_forecast(const jobs::forecast_outcome& outcome)
+{
+    if (outcome.error.count() >= 0) {
+        record("lovagebeam_forecast_error_seconds", "queue", outcome.queue, outcome.error);
+    }
+    else {
+        record("lovagebeam_forecast_early_seconds", "queue", outcome.queue, -outcome.error);
+    }
+    if (outcome.is_worthless) {
+        count("lovagebeam_forecast_misses_total", "queue", outcome.queue);
+    }
+}
+
 void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
                           base::time_point now)
 {
@@ -119,6 +140,8 @@
         .set(static_cast<double>(used.millicores));
     m_registry.gauge_named("lovagebeam_waiting_steps")
         .set(leader == nullptr ? 0 : static_cast<double>(leader->ready_step_count()));
+    m_registry.gauge_named("lovagebeam_waiting_core_seconds")
+        .set(leader == nullptr ? 0 : leader->forecast().waiting_core_seconds());
 }
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -21,6 +21,9 @@
     void on_start_call(jobs::start_outcome outcome, base::duration took);
     void on_advice_call(bool is_answered, base::duration took);
     void on_refusal(unsigned status);
+    /// A new job was admitted or refused by the forecast of its end.
+    void on_judged(std::string_view queue, bool is_admitted);
+    void on_forecast(const jobs::forecast_outcome& outcome);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
--- a/src/jobs/candidate_list.cpp
+++ b/src/jobs/candidate_list.cpp
@@ -11,6 +11,7 @@
     if (known.is_usable) {
         m_pools[known.pool].free -= known.free;
         m_pools[known.pool].capacity -= known.capacity;
+        m_pools[known.pool].planned -= known.planned;
     }
     known.info = info;
     known.is_usable = is_usable && info != nullptr;
@@ -23,6 +24,7 @@
     if (known.is_usable) {
         m_pools[known.pool].free += known.free;
         m_pools[known.pool].capacity += known.capacity;
+        m_pools[known.pool].planned += known.planned;
     }
 }
 
@@ -32,6 +34,7 @@
     on.free -= more;
     if (on.is_usable) {
         m_pools[on.pool].free -= more;
+        m_pools[on.pool].planned += more;
     }
 }
 
@@ -41,6 +44,7 @@
     on.free += less;
     if (on.is_usable) {
         m_pools[on.pool].free += less;
+        m_pools[on.pool].planned -= less;
     }
 }
 
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -34,7 +34,11 @@
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
-      m_advice{settings.advice}, m_last_forget{now}
+      m_advice{settings.advice}, m_forecast{{.urgent_headroom = settings.planner.urgent_headroom,
+                                             .worthless_objectives =
+                                                 settings.planner.expiry_objectives},
+                                            now},
+      m_last_forget{now}
 {
     for (const auto id : records.open_jobs()) {
         const auto& job = *records.find(id);
@@ -209,6 +213,7 @@
 
 void coordinator::add_ready_step(const job_record& job, const step_key& key)
 {
+    count_work(job, key);
     const auto from = job.spec.occurrences > 0 ? job.spec.due(key.occurrence) : job.accepted;
     ready_step ready;
     ready.is_gang = job.spec.steps[key.step].gang;
@@ -249,6 +254,7 @@
         m_order.erase(rank_of(key, ready));
         if (ready.is_late) {
             ready.is_expired = true;
+            m_forecast.expire(key.job.value(), key.occurrence);
         }
         else {
             ready.is_late = true;
@@ -275,6 +281,7 @@
 
 void coordinator::remove_job(const job_record& job)
 {
+    stop_counting(job);
     for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
         for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
             const step_key key{job.spec.id, run, step};
@@ -318,6 +325,7 @@
         if (job == nullptr || is_final(job->state)) {
             continue;
         }
+        count_work(*job, step_of(run.task));
         if (task->placed && task->attempt == run.attempt) {
             send_start(now, run);
         }
@@ -376,6 +384,7 @@
         stop_job(now, *job);
         return;
     }
+    count_work(*job, step_of(run.task));
     const auto& step = job->step(run.task.occurrence, run.task.step);
     if (step.undone == 0) {
         m_advice.forget(step_of(run.task));
@@ -469,6 +478,7 @@
     m_workers.tick(now);
     add_due_steps(wall);
     demote_late_steps(wall);
+    update_forecast(now, wall);
     end_isolations(now);
     std::vector<step_key> expired;
     for (const auto& [key, reserved] : m_reserved) {
