--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -328,6 +328,7 @@
     worker_table m_workers;
     advice_scheduler m_advice;
     scheduling::duration_estimates m_estimates;
+    std::map<std::string, double> m_logged_factors; ///< of queues, from `m_estimates`
     scheduling::admission_forecast m_forecast;
     /// Jobs that were admitted and may not be in the ledger yet, with the time until which they
     /// count.
--- a/include/lovagebeam/scheduling/duration_estimates.h
+++ b/include/lovagebeam/scheduling/duration_estimates.h
@@ -43,6 +43,10 @@
     /// of the queue while the account has too few ends, or 1.
     [[nodiscard]] double factor(std::string_view queue, std::string_view account) const;
 
+    /// The factor of each queue with at least `min_ends` ends, for accounts without one of their
+    /// own.
+    [[nodiscard]] std::map<std::string, double> queue_factors() const;
+
     /// What `corrected` returns for an account with `factor`.
     [[nodiscard]] static base::duration scaled(base::duration estimate, double factor);
 
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -140,6 +140,12 @@
         .set(static_cast<double>(used.millicores));
     m_registry.gauge_named("lovagebeam_waiting_steps")
         .set(leader == nullptr ? 0 : static_cast<double>(leader->ready_step_count()));
+    if (leader != nullptr) {
+        for (const auto& [queue, factor] : leader->estimates().queue_factors()) {
+            m_registry.gauge_named(with_label("lovagebeam_estimate_factor", "queue", queue))
+                .set(factor);
+        }
+    }
     m_registry.gauge_named("lovagebeam_waiting_core_seconds")
         .set(leader == nullptr ? 0 : leader->forecast().waiting_core_seconds());
 }
--- a/src/jobs/observe_durations.cpp
+++ b/src/jobs/observe_durations.cpp
@@ -1,5 +1,9 @@
 #include "lovagebeam/jobs/coordinator.h"
 
+#include <absl/strings/str_cat.h>
+
+#include <cmath>
+
 // What the leader learns from the runs that end.
 
 namespace lovagebeam::jobs {
@@ -8,6 +12,8 @@
 /// Only the first tasks of a step count, since they share its estimate: a single step of many tasks
 /// would otherwise decide the correction of its queue.
 constexpr std::uint32_t observed_tasks = 4;
+/// A change of a queue's correction by less than this isn't logged: the median moves with each end.
+constexpr double logged_change = 0.2;
 
 } // namespace
 
@@ -19,8 +25,17 @@
         return;
     }
     const auto& step = job->spec.steps[end.run.task.step];
-    if (!step.long_running) {
-        m_estimates.observe_end(job->spec.queue, job->spec.account, step.estimate, *end.took);
+    if (step.long_running) {
+        return;
+    }
+    m_estimates.observe_end(job->spec.queue, job->spec.account, step.estimate, *end.took);
+    const auto factor = m_estimates.factor(job->spec.queue, {});
+    auto& logged = m_logged_factors.try_emplace(job->spec.queue, 1.0).first->second;
+    if (std::abs(factor - logged) >= logged_change * logged) {
+        m_out.log_entries.push_back(
+            {"estimates_corrected", std::nullopt,
+             absl::StrCat("queue=", job->spec.queue, " factor=", factor, " before=", logged)});
+        logged = factor;
     }
 }
 
--- a/src/scheduling/duration_estimates.cpp
+++ b/src/scheduling/duration_estimates.cpp
@@ -65,6 +65,17 @@
     return found->second.all.factor() > 0 ? found->second.all.factor() : 1;
 }
 
+std::map<std::string, double> duration_estimates::queue_factors() const
+{
+    std::map<std::string, double> out;
+    for (const auto& [name, ends] : m_queues) {
+        if (ends.all.factor() > 0) {
+            out.emplace(name, ends.all.factor());
+        }
+    }
+    return out;
+}
+
 base::duration duration_estimates::corrected(std::string_view queue, std::string_view account,
                                              base::duration estimate) const
 {
--- a/tests/scheduling/duration_estimates_test.cpp
+++ b/tests/scheduling/duration_estimates_test.cpp
@@ -74,6 +74,8 @@
     {
         observe(20, 1s, 2s);
         CPPUNIT_ASSERT(estimates.corrected("second", "account", 1s) == 1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, estimates.queue_factors().size());
+        CPPUNIT_ASSERT_EQUAL(2.0, estimates.queue_factors().at("queue"));
     }
 
     // Guards against ends of long ago that outweigh what callers estimate now.
