--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -97,6 +97,27 @@
     }
 }
 
+void core_metrics::on_judged(std::string_view queue, bool is_admitted)
+{
+    if (!is_admitted) {
+        count("lovagebeam_jobs_refused_total", "queue", queue);
+    }
+}
+
+// A histogram has no negative values, so forecasts that were too late have one of their own.
+void core_metrics::on_forecast(const jobs::forecast_outcome& outcome)
+{
+    if (outcome.error.count() >= 0) {
+        record("lovagebeam_forecast_error_seconds", "queue", outcome.queue, outcome.error);
+    }
+    else {
+        record("lovagebeam_forecast_early_seconds", "queue", outcome.queue, -outcome.error);
+    }
+    if (outcome.is_worthless) {
+        count("lovagebeam_forecast_misses_total", "queue", outcome.queue);
+    }
+}
+
 void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
                           base::time_point now)
 {
@@ -137,6 +158,14 @@
     m_registry.gauge_named("lovagebeam_evacuated_tasks").set(static_cast<double>(evacuated_tasks));
     m_registry.gauge_named("lovagebeam_waiting_steps")
         .set(leader == nullptr ? 0 : static_cast<double>(leader->ready_step_count()));
+    if (leader != nullptr) {
+        for (const auto& [queue, factor] : leader->estimates().queue_factors()) {
+            m_registry.gauge_named(with_label("lovagebeam_estimate_factor", "queue", queue))
+                .set(factor);
+        }
+    }
+    m_registry.gauge_named("lovagebeam_waiting_core_seconds")
+        .set(leader == nullptr ? 0 : leader->forecast().waiting_core_seconds());
 }
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -25,6 +25,9 @@
     void on_withheld_starts(std::uint64_t count);
     /// Counts the decisions that have a counter.
     void on_decision(const jobs::decision_log_entry& entry);
+    /// A new job was admitted or refused by the forecast of its end.
+    void on_judged(std::string_view queue, bool is_admitted);
+    void on_forecast(const jobs::forecast_outcome& outcome);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
