Stop batch work for urgent steps that find no room

On a full fleet a step of priority 0 waited until batch work ended: in the simulated cell 15 s or more.

A preempted run counts as a failure of neither its task nor its worker, and the worker isn't avoided. Steps that find room are planned as before. How often a task was preempted is bounded by its attempts for the next leader.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -4,6 +4,7 @@
 #include "lovagebeam/jobs/candidate_list.h"
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
+#include "lovagebeam/jobs/preemption_policy.h"
 #include "lovagebeam/jobs/worker_table.h"
 
 #include "jobs.pb.h"
@@ -73,6 +74,13 @@
     worker_settings workers;
     advice_settings advice;
     planner_settings planner;
+    preemption_policy preemption;
+};
+
+/// A run that was ordered to stop so that urgent work finds room.
+struct preempted_run {
+    run_key run;
+    double lost_core_seconds = 0; ///< work since its last checkpoint
 };
 
 /// Actions that the coordinator requests. Only the order of `batches` matters.
@@ -84,6 +92,7 @@
     std::vector<stop_order> stops;
     std::vector<hold_order> holds;
     std::vector<advice_order> advice;
+    std::vector<preempted_run> preempted; ///< their stops are among `stops`
     std::vector<decision_log_entry> log_entries;
 };
 
@@ -135,9 +144,10 @@
     struct ready_step {
         bool is_gang = false;
         std::uint32_t priority = 0;
-        base::wall_time due_by;     ///< when the job's objective ends
-        base::wall_time late_at;    ///< a start after this time is too late for the objective
-        base::wall_time expires_at; ///< from then on the job earns nothing
+        base::wall_time due_by;       ///< when the job's objective ends
+        base::wall_time late_at;      ///< a start after this time is too late for the objective
+        base::wall_time expires_at;   ///< from then on the job earns nothing
+        base::time_point ready_since; ///< to the last tick
         base::time_point not_before;
         base::time_point next_look;        ///< see `planner_settings::look_interval`
         base::time_point query_not_before; ///< for advice on workers that no call has named
@@ -183,6 +193,8 @@
     /// Whether a step waits for an answer from the advice service.
     enum class advice_wait { none, open };
 
+    struct preemption;
+
     // Events.
     void on_worker_changed(base::time_point now, const base::worker_id& id);
     void add_ready_steps(const job_record& job);
@@ -194,7 +206,8 @@
     void on_placed(base::time_point now, const proto::jobs::PlaceTasks& operation);
     void on_ended(base::time_point now, const proto::jobs::EndTask& operation);
     void on_run_incomplete(base::time_point now, const job_record& job, const run_key& run,
-                           const base::worker_id& worker, proto::jobs::EndKind how);
+                           const base::worker_id& worker, proto::jobs::EndKind how,
+                           bool was_preempted);
     void stop_gang(base::time_point now, const job_record& job, const step_key& key);
     void stop_job(base::time_point now, const job_record& job);
     void send_start(base::time_point now, const run_key& run);
@@ -288,6 +301,39 @@
     void reserve(base::time_point now, const planned_step& step,
                  const std::vector<assignment>& chosen);
     void release_reservation(const step_key& key);
+
+    // Preemption.
+    /// Records how often tasks of the job may have been preempted under earlier leaders.
+    void assume_preemptions(const job_record& job);
+    /// Releases the room that is booked for the step, to look for room anew.
+    /// Returns whether there was any. `preempt_for` books what is still needed.
+    bool release_preempted_room(const step_key& key);
+    /// Books room that is being freed for the waiting tasks of an urgent step, and orders runs to
+    /// stop for those that lack it. Returns whether all of them have room on the way.
+    bool preempt_for(base::time_point now, const planned_step& step, advice_wait advice);
+    void tick_preemption(base::time_point now, base::wall_time wall);
+    /// The capacity of a worker that is free or being freed, without what is booked.
+    [[nodiscard]] size room_coming(base::time_point now, const candidate_worker& on) const;
+    /// Books released room again, for at most `tasks` tasks.
+    void rebook_room(base::time_point now, const planned_step& step, std::size_t tasks);
+    [[nodiscard]] std::size_t tasks_without_room(const planned_step& step) const;
+    /// Orders runs to stop for that many tasks of the step and books the room.
+    void make_room(base::time_point now, const planned_step& step, std::size_t tasks);
+    void stop_for(base::time_point now, const planned_step& urgent,
+                  const scheduling::preemption_planner::victim& which);
+    void begin_preemption_pass(base::time_point now);
+    void ask_about_further_workers(base::time_point now, const planned_step& step);
+    void renew_tickets(base::time_point now, const planned_step& step);
+    std::vector<scheduling::preemption_planner::worker>
+    workers_to_compare(base::time_point now, const planned_step& step);
+    /// The workers that the step may use, full or not.
+    std::vector<candidate_worker*> workers_for_preemption(const planned_step& step);
+    const std::vector<const scheduling::preemption_planner::victim*>&
+    victims_on(base::time_point now, const candidate_worker& on);
+    /// Adds the run of the task, or all runs of its gang, unless they can't be stopped now.
+    void add_victim(base::time_point now, const job_record& job, const task_key& key,
+                    std::vector<const scheduling::preemption_planner::victim*>& out);
+
     [[nodiscard]] bool has_headroom(const planned_step& step, const size& more) const;
     [[nodiscard]] bool is_within_limit(const std::string& account, const size& more) const;
     [[nodiscard]] const advice_policy* advice_for(const job_spec& job) const;
@@ -315,6 +361,7 @@
     std::map<step_key, std::set<base::worker_id>> m_avoided; ///< where a task of the step failed
     std::map<base::worker_id, isolation> m_isolated;
     candidate_list m_candidates;
+    std::unique_ptr<preemption> m_preemption;
     base::time_point m_next_plan;
     proto::jobs::Batch m_batch;
     std::uint64_t m_last_batch = 0;
--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -100,6 +100,14 @@
         run_key run;
         base::worker_id worker;
     };
+    /// What is known of a run that a worker has confirmed.
+    struct run_history {
+        std::optional<base::time_point> started; ///< unless an earlier leader started it
+        /// When a new checkpoint was first listed, up to `hold_wait` after it was taken. The first
+        /// one of a run isn't noticed if it comes with the run's first listing.
+        std::optional<base::time_point> checkpointed;
+        std::uint32_t percent = 0; ///< when it was last listed
+    };
     struct output {
         std::vector<hold_order> holds;
         std::vector<stop_order> stops;
@@ -147,6 +155,9 @@
     [[nodiscard]] bool is_quarantined(base::time_point now, const base::worker_id& id) const;
     /// The runs that the worker last listed as running; empty for an unknown worker.
     [[nodiscard]] const std::map<run_key, running_row>& running_on(const base::worker_id& id) const;
+    /// Returns nothing for a run that the worker hasn't confirmed.
+    [[nodiscard]] std::optional<run_history> history_of(const base::worker_id& id,
+                                                        const run_key& run) const;
     /// The highest token that an order of this leader may carry.
     [[nodiscard]] fencing_token last_token() const { return m_last_token; }
     /// Whether a start was sent to the worker less than `time` ago.
@@ -170,6 +181,10 @@
         std::uint32_t percent = 0;
         base::time_point changed_at;
     };
+    struct listed_checkpoint {
+        std::string text;
+        std::optional<base::time_point> changed_at;
+    };
     /// What the end of a worker's process says about one run.
     struct run_crash {
         std::optional<milliseconds> ran;
@@ -210,6 +225,7 @@
         std::map<run_key, sent_start> starts;
         std::map<run_key, running_row> running;
         std::map<run_key, progress> progress_by_run;
+        std::map<run_key, listed_checkpoint> checkpoints;
         std::map<run_key, base::time_point> stop_sent_at; ///< of the last stop
         std::map<run_key, end_kind> reported_ends;        ///< reported, not yet committed
         std::map<job_number, base::time_point> failed_jobs;
@@ -275,6 +291,7 @@
                             const hold_answer& answer);
     [[nodiscard]] bool is_wanted(const entry& worker, const run_key& run,
                                  const job_record* job) const;
+    static void note_checkpoint(entry& worker, base::time_point now, const running_row& row);
     void watch_progress(entry& worker, base::time_point now, const running_row& row,
                         const step_spec& step);
     void update_health(entry& worker, base::time_point now, const run_key& run, end_kind how);
--- a/include/lovagebeam/scheduling/preemption_planner.h
+++ b/include/lovagebeam/scheduling/preemption_planner.h
@@ -121,6 +121,8 @@
     [[nodiscard]] amount on_the_way(base::time_point now, const base::worker_id& on) const;
     /// Whether a run on the worker should have ended by now.
     [[nodiscard]] bool is_overdue(base::time_point now, const base::worker_id& on) const;
+    /// The workers of the runs of `stopping`.
+    [[nodiscard]] std::vector<base::worker_id> stopping_workers() const;
     /// The runs that have been ordered to stop and haven't ended.
     [[nodiscard]] std::vector<run_id> stopping() const;
 
--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -358,6 +358,7 @@
     for (const auto& order : out.advice) {
         send(order);
     }
+    m_core_metrics.on_preempted(out.preempted);
     for (const auto& entry : out.log_entries) {
         log_event line{severity::info, entry.event};
         if (entry.job) {
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -85,6 +85,18 @@
     count("lovagebeam_requests_refused_total", "status", std::to_string(status));
 }
 
+void core_metrics::on_preempted(const std::vector<jobs::preempted_run>& runs)
+{
+    if (runs.empty()) {
+        return;
+    }
+    for (const auto& each : runs) {
+        m_registry.counter_named("lovagebeam_runs_preempted_total").add(1);
+        m_preempted_core_seconds += each.lost_core_seconds;
+    }
+    m_registry.gauge_named("lovagebeam_preempted_core_seconds_total").set(m_preempted_core_seconds);
+}
+
 void core_metrics::update(const jobs::ledger& records, const jobs::coordinator* leader,
                           base::time_point now)
 {
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -5,6 +5,7 @@
 #include "lovagebeam/telemetry/metrics.h"
 
 #include <string_view>
+#include <vector>
 
 namespace lovagebeam::controlplane {
 
@@ -21,6 +22,7 @@
     void on_start_call(jobs::start_outcome outcome, base::duration took);
     void on_advice_call(bool is_answered, base::duration took);
     void on_refusal(unsigned status);
+    void on_preempted(const std::vector<jobs::preempted_run>& runs);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
@@ -30,6 +32,7 @@
                 base::duration took);
 
     telemetry::metrics_registry& m_registry;
+    double m_preempted_core_seconds = 0; ///< work thrown away since the process started
 };
 
 } // namespace lovagebeam::controlplane
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/coordinator.h"
 
 #include "format_run.h"
+#include "preemption.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -33,7 +34,8 @@
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
-      m_advice{settings.advice}, m_last_forget{now}
+      m_advice{settings.advice},
+      m_preemption{std::make_unique<preemption>(settings.preemption, now)}, m_last_forget{now}
 {
     for (const auto id : records.open_jobs()) {
         const auto& job = *records.find(id);
@@ -41,6 +43,7 @@
             continue;
         }
         add_ready_steps(job);
+        assume_preemptions(job);
     }
     for (auto& [key, ready] : m_ready) {
         ready.isolates_until = now + m_settings.planner.isolation_wait;
@@ -210,6 +213,7 @@
 {
     const auto from = job.spec.occurrences > 0 ? job.spec.due(key.occurrence) : job.accepted;
     ready_step ready;
+    ready.ready_since = m_preemption->now;
     ready.is_gang = job.spec.steps[key.step].gang;
     ready.priority = job.spec.priority;
     ready.due_by = objective_end(job.spec, from, 1);
@@ -233,6 +237,8 @@
         m_order.erase(rank_of(key, found->second));
         m_demotions.erase(
             {found->second.is_late ? found->second.expires_at : found->second.late_at, key});
+        release_preempted_room(key);
+        m_preemption->needs.erase(key);
         m_ready.erase(found);
     }
 }
@@ -283,6 +289,7 @@
     }
     std::erase_if(m_scheduled_steps,
                   [&](const auto& entry) { return entry.second.job == job.spec.id; });
+    m_preemption->planner.forget(job.spec.id.value());
 }
 
 void coordinator::stop_job(base::time_point now, const job_record& job)
@@ -351,6 +358,7 @@
     const auto run = jobs::from_proto(operation.task());
     const base::worker_id worker{operation.worker()};
     m_workers.on_end_applied(run, worker);
+    const bool was_preempted = m_preemption->planner.on_run_ended(run_id_of(run));
     end_isolation(now, worker, run.task);
     update_candidate(now, worker);
     const auto* const job = m_ledger.find(run.task.job);
@@ -379,15 +387,16 @@
         add_ready_steps(*job);
     }
     else if (!step.tasks[run.task.index].done) {
-        on_run_incomplete(now, *job, run, worker, operation.how());
+        on_run_incomplete(now, *job, run, worker, operation.how(), was_preempted);
     }
 }
 
 void coordinator::on_run_incomplete(base::time_point now, const job_record& job, const run_key& run,
-                                    const base::worker_id& worker, pb::EndKind how)
+                                    const base::worker_id& worker, pb::EndKind how,
+                                    bool was_preempted)
 {
     const auto key = step_of(run.task);
-    if (how == pb::END_KIND_FAILED || how == pb::END_KIND_STOPPED) {
+    if (how == pb::END_KIND_FAILED || (how == pb::END_KIND_STOPPED && !was_preempted)) {
         m_avoided[key].insert(worker);
     }
     if (job.spec.steps[key.step].gang) {
@@ -466,6 +475,7 @@
     add_due_steps(wall);
     demote_late_steps(wall);
     end_isolations(now);
+    tick_preemption(now, wall);
     std::vector<step_key> expired;
     for (const auto& [key, reserved] : m_reserved) {
         if (reserved.until <= now && !m_advice.is_call_open(key)) {
@@ -508,6 +518,7 @@
         m_needs_planning = false;
         m_next_plan = now + planning_interval();
         plan(now);
+        collect_worker_output(now); // the stops that planning has ordered
     }
     add_begun_jobs(now);
     m_out.advice = m_advice.take(now);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -150,9 +150,9 @@
     if (!is_call_open) {
         release_reservation(key);
     }
-    if (!may_fit(step)) {
+    if (!release_preempted_room(key) && !may_fit(step)) {
         ready.next_look = now + look_interval(ready);
-        return true;
+        return !preempt_for(now, step, advice_wait::none);
     }
     const auto chosen = assign(now, step, ticket_rule::valid);
     commit(now, step, chosen);
@@ -175,7 +175,9 @@
         is_call_open ? m_reserved.contains(key)
                      : advice_for(job->spec) != nullptr &&
                            request_missing_advice(now, step, ready) == advice_wait::open;
-    return chosen.empty() && !waits_for_advice;
+    const bool has_room_coming =
+        preempt_for(now, step, waits_for_advice ? advice_wait::open : advice_wait::none);
+    return chosen.empty() && !waits_for_advice && !has_room_coming;
 }
 
 std::map<base::worker_id, std::uint32_t>
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -142,6 +142,7 @@
         worker.running.emplace(row.run, row);
         const auto* const job = m_ledger.find(row.run.task.job);
         confirm_start(worker, row.run, job);
+        note_checkpoint(worker, now, row);
         if (is_wanted(worker, row.run, job)) {
             watch_progress(worker, now, row, job->spec.steps[row.run.task.step]);
             continue;
--- a/src/jobs/worker_table.cpp
+++ b/src/jobs/worker_table.cpp
@@ -338,6 +338,7 @@
         worker->reported_ends.erase(run);
         erase_start(*worker, run);
         worker->progress_by_run.erase(run);
+        worker->checkpoints.erase(run);
     }
 }
 
--- a/src/scheduling/preemption_planner.cpp
+++ b/src/scheduling/preemption_planner.cpp
@@ -25,15 +25,10 @@
     return *this;
 }
 
-// A resource that the task doesn't need isn't compared: the booked amount of another one may exceed
-// the capacity.
 bool preemption_planner::amount::fits_in(const amount& limit) const
 {
-    const auto fits = [](std::int64_t needed, std::int64_t available) {
-        return needed <= 0 || needed <= available;
-    };
-    return fits(millicores, limit.millicores) && fits(memory_mb, limit.memory_mb) &&
-           fits(accelerators, limit.accelerators);
+    return millicores <= limit.millicores && memory_mb <= limit.memory_mb &&
+           accelerators <= limit.accelerators;
 }
 
 struct preemption_planner::cost {
@@ -311,6 +306,16 @@
                found->second, [&](const run_id& id) { return is_overdue(now, m_stopping.at(id)); });
 }
 
+std::vector<base::worker_id> preemption_planner::stopping_workers() const
+{
+    std::vector<base::worker_id> out;
+    out.reserve(m_stopping_on.size());
+    for (const auto& [on, runs] : m_stopping_on) {
+        out.push_back(on);
+    }
+    return out;
+}
+
 std::vector<preemption_planner::run_id> preemption_planner::stopping() const
 {
     std::vector<run_id> out;
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -54,6 +54,12 @@
     return static_cast<std::uint32_t>(std::min(99.0, part * 100));
 }
 
+std::string sim_worker::run::last_checkpoint(base::time_point now) const
+{
+    const auto taken = takes_checkpoints && !waits ? (now - began) / 500ms : 0;
+    return taken == 0 ? checkpoint : absl::StrCat(checkpoint, "+", taken);
+}
+
 sim_cell::sim_cell(std::uint64_t seed, sim_settings chosen)
     : now{std::chrono::hours{1}}, random{seed}, settings{chosen},
       config{std::make_shared<catalog>()}, m_begin{now}, m_next_tick{now}
@@ -185,6 +191,7 @@
     ++m_generation;
     ++m_term;
     coordinator_settings chosen;
+    chosen.planner.urgent_headroom = settings.urgent_headroom;
     leading_since = now;
     leader = std::make_unique<coordinator>(chosen, records, fencing_token{m_term * tokens_per_term},
                                            now, wall());
@@ -254,6 +261,10 @@
     for (const auto& [id, batch] : out.batches) {
         commit(id, batch);
     }
+    for (const auto& stopped : out.preempted) {
+        ++preemptions[stopped.run.task];
+        lost_core_seconds += stopped.lost_core_seconds;
+    }
     for (const auto& order : out.starts) {
         send(order);
     }
@@ -362,7 +373,7 @@
             auto& highest_attempt = worker->ended_attempts[order.run.task];
             highest_attempt = std::max(highest_attempt, order.run.attempt);
             const auto found = worker->runs.find(order.run);
-            if (found != worker->runs.end() && !found->second.stops) {
+            if (found != worker->runs.end() && !found->second.stops && !worker->ignores_stops) {
                 found->second.stops = now + stop_time;
             }
         },
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -26,10 +26,13 @@
         end_kind how = end_kind::done;
         bool waits = false; ///< for the other members of its gang to start
         bool hangs = false;
+        bool takes_checkpoints = false; ///< every half second
+        std::string checkpoint;         ///< that it was started from
         std::optional<base::time_point> stops;
 
         /// Progress in percent.
         [[nodiscard]] std::uint32_t percent(base::time_point now) const;
+        [[nodiscard]] std::string last_checkpoint(base::time_point now) const;
     };
     worker_info info;
     base::time_point started; ///< its clock is 0 then
@@ -54,6 +57,7 @@
     bool is_cut_by_resets = false;
     bool fails_all = false;
     bool hangs = false;
+    bool ignores_stops = false;
 
     [[nodiscard]] worker_time clock(base::time_point now) const;
 };
@@ -71,6 +75,7 @@
     std::uint32_t agents = 4;          ///< hosts that call the advice service
     std::uint32_t allowed_of_four = 3; ///< how many of four workers the advice service allows
     base::duration commit_time = 12ms;
+    double urgent_headroom = planner_settings{}.urgent_headroom;
 };
 
 /// Drives one coordinator at a time against simulated workers, with a ledger whose commits take
@@ -93,8 +98,12 @@
     bool has_faults = false;
     /// Tasks that end the process of each worker that starts them, and how long after the start.
     std::map<task_key, base::duration> crashing_tasks;
-    std::uint64_t crashes = 0;      ///< caused by `crashing_tasks`
-    std::uint64_t direct_holds = 0; ///< holds that no other process may pass on
+    std::uint64_t crashes = 0;                     ///< caused by `crashing_tasks`
+    std::map<task_key, std::uint32_t> preemptions; ///< ordered by all leaders
+    double lost_core_seconds = 0;                  ///< by them
+    std::map<task_key, base::time_point> first_starts;
+    std::map<task_key, std::string> last_started_from; ///< checkpoint
+    std::uint64_t direct_holds = 0;                    ///< holds that no other process may pass on
 
     [[nodiscard]] base::wall_time wall() const;
     void add_worker(const std::string& id);
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -49,7 +49,7 @@
     out.clock = worker.clock(now);
     out.started_at = worker.info.started_at;
     for (const auto& [run, state] : worker.runs) {
-        out.running.push_back({run, "", state.percent(now), std::nullopt});
+        out.running.push_back({run, state.last_checkpoint(now), state.percent(now), std::nullopt});
     }
     for (const auto& end : worker.ends) {
         if (out.finished.size() < max_listed_ends) {
@@ -94,6 +94,10 @@
     run.ends = now + work;
     run.hangs = worker.hangs;
     run.waits = step.gang;
+    run.takes_checkpoints = step.checkpoints;
+    run.checkpoint = order.checkpoint;
+    first_starts.emplace(order.run.task, now);
+    last_started_from[order.run.task] = order.checkpoint;
     if (worker.fails_all) {
         run.ends = now + 20ms;
         run.how = end_kind::failed;
@@ -138,10 +142,11 @@
 
 void sim_cell::end(sim_worker& worker, const run_key& run, end_kind how)
 {
+    const auto checkpoint = worker.runs.at(run).last_checkpoint(now);
     worker.runs.erase(run);
     auto& highest_attempt = worker.ended_attempts[run.task];
     highest_attempt = std::max(highest_attempt, run.attempt);
-    worker.ends.push_back({{++worker.last_end, run, how, ""}, now});
+    worker.ends.push_back({{++worker.last_end, run, how, checkpoint}, now});
     if (how == end_kind::lapsed) {
         worker.last_lease_expiry = now;
     }
