Don't preempt a task that may have crashed a worker

Its run tells whether it is the cause; a stop would end the observation. Also replaces two algorithms on ranges that clang 14 can't compile with this standard library, which the linter reported.

--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -296,8 +296,9 @@
     if (allowed.size() > state.policy.workers_per_step) {
         // Another part in each pass, but those with room on the way always.
         const auto first = state.first_worker % allowed.size();
-        std::ranges::rotate(allowed, allowed.begin() + static_cast<std::ptrdiff_t>(first));
-        std::ranges::stable_partition(allowed, [&](const candidate_worker* each) {
+        const auto middle = allowed.begin() + static_cast<std::ptrdiff_t>(first);
+        std::rotate(allowed.begin(), middle, allowed.end());
+        std::stable_partition(allowed.begin(), allowed.end(), [&](const candidate_worker* each) {
             return state.current.freeing.contains(each);
         });
         allowed.resize(state.policy.workers_per_step);
@@ -384,7 +385,7 @@
 }
 
 // A run that hasn't begun, or a gang of which a member hasn't, isn't stopped: it may be refused, or
-// end by itself.
+// end by itself. Neither is a task that may have crashed a worker: its run tells whether it did.
 void coordinator::add_victim(base::time_point now, const job_record& job, const task_key& key,
                              std::vector<const scheduling::preemption_planner::victim*>& out)
 {
@@ -402,7 +403,7 @@
         const auto& task = tasks[index];
         const task_key member{key.job, key.occurrence, key.step, index};
         const auto history = m_workers.history_of(task.worker, {member, task.attempt});
-        if (!task.placed || task.done || !history) {
+        if (!task.placed || task.done || !history || task.crashes.count > 0) {
             return;
         }
         const auto done = base::duration{step.estimate} * history->percent / 100;
