--- a/tests/jobs/preemption_test.cpp
+++ b/tests/jobs/preemption_test.cpp
@@ -43,6 +43,7 @@
     CPPUNIT_TEST_SUITE(preemption_test);
     CPPUNIT_TEST(burst_on_full_fleet_starts_in_time);
     CPPUNIT_TEST(burst_with_advice_starts_in_time);
+    CPPUNIT_TEST(burst_of_many_steps_starts_in_time);
     CPPUNIT_TEST(urgent_work_that_finds_room_preempts_nothing);
     CPPUNIT_TEST(short_wait_for_room_preempts_nothing);
     CPPUNIT_TEST(no_more_is_stopped_than_the_burst_needs);
@@ -82,6 +83,16 @@
         check_starts(*cell, 24, room_time + stop_time);
     }
 
+    // More steps than a pass looks at or plans for, a fifth of the fleet.
+    void burst_of_many_steps_starts_in_time()
+    {
+        for (const bool with_advice : {false, true}) {
+            auto cell = full_cell({.workers = 32, .with_advice = with_advice, .agents = 24});
+            submit_lookups(*cell, 100);
+            check_starts(*cell, 100, room_time + stop_time);
+        }
+    }
+
     void urgent_work_that_finds_room_preempts_nothing()
     {
         auto cell = std::make_unique<sim_cell>(1, sim_settings{});
