--- a/src/controlplane/core_host_implementation.cpp
+++ b/src/controlplane/core_host_implementation.cpp
@@ -372,6 +372,7 @@
     for (const auto& outcome : out.forecasts) {
         m_core_metrics.on_forecast(outcome);
     }
+    m_core_metrics.on_preempted(out.preempted);
     for (const auto& entry : out.log_entries) {
         m_core_metrics.on_decision(entry);
         log_event line{severity::info, entry.event};
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string_view>
+#include <vector>
 
 namespace lovagebeam::controlplane {
 
@@ -28,6 +29,7 @@
     /// A new job was admitted or refused by the forecast of its end.
     void on_judged(std::string_view queue, bool is_admitted);
     void on_forecast(const jobs::forecast_outcome& outcome);
+    void on_preempted(const std::vector<jobs::preempted_run>& runs);
     /// Sets the gauges. Call about once a second.
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
@@ -37,6 +39,7 @@
                 base::duration took);
 
     telemetry::metrics_registry& m_registry;
+    double m_preempted_core_seconds = 0; ///< work thrown away since the process started
 };
 
 } // namespace lovagebeam::controlplane
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -143,9 +143,9 @@
         ready.next_look = now + look_interval(ready);
         return obstacle::account_limit;
     }
-    if (!may_fit(step)) {
+    if (!release_preempted_room(key) && !may_fit(step)) {
         ready.next_look = now + look_interval(ready);
-        return obstacle::no_capacity;
+        return preempt_for(now, step, advice_wait::none) ? obstacle::none : obstacle::no_capacity;
     }
     const auto chosen = assign(now, step, ticket_rule::valid);
     commit(now, step, chosen);
@@ -168,7 +168,10 @@
         is_call_open ? m_reserved.contains(key)
                      : advice_for(job->spec) != nullptr &&
                            request_missing_advice(now, step, ready) == advice_wait::open;
-    return chosen.empty() && !waits_for_advice ? obstacle::no_capacity : obstacle::none;
+    const bool has_room_coming =
+        preempt_for(now, step, waits_for_advice ? advice_wait::open : advice_wait::none);
+    return chosen.empty() && !waits_for_advice && !has_room_coming ? obstacle::no_capacity
+                                                                   : obstacle::none;
 }
 
 bool coordinator::is_stopped_by_limit(const planned_step& step)
