--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -305,6 +305,10 @@
     // Preemption.
     /// Records how often tasks of the job may have been preempted under earlier leaders.
     void assume_preemptions(const job_record& job);
+    /// Records the end of a run. Returns whether it was preempted. Call it before the worker table
+    /// forgets the run.
+    bool end_preemption(const run_key& run, const base::worker_id& worker,
+                        proto::jobs::EndKind how);
     /// Releases the room that is booked for the step, to look for room anew.
     /// Returns whether there was any. `preempt_for` books what is still needed.
     bool release_preempted_room(const step_key& key);
--- a/include/lovagebeam/scheduling/preemption_planner.h
+++ b/include/lovagebeam/scheduling/preemption_planner.h
@@ -110,7 +110,7 @@
     /// Returns whether the run was preempted.
     bool on_run_ended(const run_id& ended);
 
-    /// Sets how often a task may have been preempted under earlier leaders.
+    /// Records that a task may have been preempted this often, under earlier leaders too.
     void assume(const task_id& task, std::uint32_t times);
     /// Forgets how often the tasks of the job were preempted.
     void forget(std::uint64_t job);
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -357,8 +357,8 @@
 {
     const auto run = jobs::from_proto(operation.task());
     const base::worker_id worker{operation.worker()};
+    const bool was_preempted = end_preemption(run, worker, operation.how());
     m_workers.on_end_applied(run, worker);
-    const bool was_preempted = m_preemption->planner.on_run_ended(run_id_of(run));
     end_isolation(now, worker, run.task);
     update_candidate(now, worker);
     const auto* const job = m_ledger.find(run.task.job);
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -100,6 +100,26 @@
     }
 }
 
+// A run of an earlier leader that ends as stopped may have been preempted by that leader just
+// before the change.
+bool coordinator::end_preemption(const run_key& run, const base::worker_id& worker,
+                                 proto::jobs::EndKind how)
+{
+    if (m_preemption->planner.on_run_ended(run_id_of(run))) {
+        return true;
+    }
+    const auto* const task = m_ledger.find(run.task);
+    if (how != proto::jobs::END_KIND_STOPPED || task == nullptr) {
+        return false;
+    }
+    const auto history = m_workers.history_of(worker, run);
+    const auto explained = task->failures + task->crashes.count;
+    if ((!history || !history->started) && task->attempt > explained) {
+        m_preemption->planner.assume(task_id_of(run.task), task->attempt - explained);
+    }
+    return false;
+}
+
 bool coordinator::release_preempted_room(const step_key& key)
 {
     const auto found = m_preemption->needs.find(key);
--- a/src/scheduling/preemption_planner.cpp
+++ b/src/scheduling/preemption_planner.cpp
@@ -267,7 +267,8 @@
 void preemption_planner::assume(const task_id& task, std::uint32_t times)
 {
     if (times > 0) {
-        m_counts[task] = times;
+        auto& count = m_counts[task];
+        count = std::max(count, times);
     }
 }
 
--- a/tests/jobs/preemption_test.cpp
+++ b/tests/jobs/preemption_test.cpp
@@ -3,6 +3,7 @@
 #include <cppunit/extensions/HelperMacros.h>
 
 #include <algorithm>
+#include <iterator>
 #include <string>
 
 // Load pattern: lookups on a fleet that batch work of many seconds has filled.
@@ -58,6 +59,7 @@
     CPPUNIT_TEST(urgent_gang_gets_room_for_all_members);
     CPPUNIT_TEST(bursts_again_and_again_preempt_no_task_more_than_twice);
     CPPUNIT_TEST(bursts_under_changing_leaders_preempt_no_task_more_than_twice);
+    CPPUNIT_TEST(bursts_under_faults_preserve_invariants);
     CPPUNIT_TEST(cancel_while_runs_are_stopped_gives_room_back);
     CPPUNIT_TEST(leader_lost_while_runs_are_stopped_lookups_start);
     CPPUNIT_TEST(new_leader_waits_for_its_workers);
@@ -266,6 +268,40 @@
         CPPUNIT_ASSERT(cell->violations.empty());
     }
 
+    // Guards against room that is booked twice or never given back, and against preemptions beyond
+    // two, while leaders change, workers restart, are cut off or ignore stops, and orders are lost.
+    void bursts_under_faults_preserve_invariants()
+    {
+        std::size_t preempted = 0;
+        for (std::uint64_t seed = 1; seed <= 10; ++seed) {
+            sim_cell cell{seed, {.with_advice = seed % 2 == 0, .urgent_headroom = 0}};
+            cell.has_faults = true;
+            for (std::uint64_t burst = 0; burst < 20; ++burst) {
+                auto job = batch(1 + burst, 12);
+                job.steps[0].gang = cell.random.chance(0.3);
+                job.steps[0].checkpoints = cell.random.chance(0.5);
+                job.steps[0].estimate = 5s;
+                cell.submit(job);
+                submit_lookups(cell, 12);
+                inject_fault(cell);
+                cell.run_for(std::chrono::milliseconds{cell.random.between(300, 1'500)});
+            }
+            cell.settings.lose_request = 0;
+            for (auto& [id, worker] : cell.workers) {
+                worker.is_partitioned = worker.ignores_stops = false;
+            }
+            cell.run_for(90s);
+            cell.check_acknowledged_ends();
+            const auto name = "seed " + std::to_string(seed);
+            CPPUNIT_ASSERT_MESSAGE(name + (cell.violations.empty() ? "" : cell.violations.front()),
+                                   cell.violations.empty());
+            CPPUNIT_ASSERT_MESSAGE(name, cell.all_jobs_ended());
+            CPPUNIT_ASSERT_MESSAGE(name, most_preemptions(cell) <= 2);
+            preempted += cell.preemptions.size();
+        }
+        CPPUNIT_ASSERT(preempted > 0);
+    }
+
     void cancel_while_runs_are_stopped_gives_room_back()
     {
         auto cell = full_cell({});
@@ -384,6 +420,31 @@
         }
     }
 
+    static void inject_fault(sim_cell& cell)
+    {
+        auto pick = std::next(cell.workers.begin(),
+                              static_cast<std::ptrdiff_t>(cell.random.below(cell.workers.size())));
+        switch (cell.random.below(6)) {
+        case 0:
+            cell.change_leader();
+            return;
+        case 1:
+            cell.restart_worker(pick->first, cell.random.chance(0.5));
+            return;
+        case 2:
+            pick->second.is_partitioned = !pick->second.is_partitioned;
+            return;
+        case 3:
+            pick->second.ignores_stops = !pick->second.ignores_stops;
+            return;
+        case 4:
+            cell.settings.lose_request = cell.random.chance(0.5) ? 0.1 : 0;
+            return;
+        default:
+            return;
+        }
+    }
+
     static std::string preempted_jobs(const sim_cell& cell)
     {
         std::string out;
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -262,7 +262,7 @@
         commit(id, batch);
     }
     for (const auto& stopped : out.preempted) {
-        ++preemptions[stopped.run.task];
+        preemptions[stopped.run.task] += preempted_runs.insert(stopped.run).second ? 1 : 0;
         lost_core_seconds += stopped.lost_core_seconds;
     }
     for (const auto& order : out.starts) {
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -99,7 +99,8 @@
     /// Tasks that end the process of each worker that starts them, and how long after the start.
     std::map<task_key, base::duration> crashing_tasks;
     std::uint64_t crashes = 0;                     ///< caused by `crashing_tasks`
-    std::map<task_key, std::uint32_t> preemptions; ///< ordered by all leaders
+    std::set<run_key> preempted_runs;              ///< by all leaders
+    std::map<task_key, std::uint32_t> preemptions; ///< number of `preempted_runs` of each task
     double lost_core_seconds = 0;                  ///< by them
     std::map<task_key, base::time_point> first_starts;
     std::map<task_key, std::string> last_started_from; ///< checkpoint
