--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -113,7 +113,8 @@
     std::uint64_t quarantined = 0;                 ///< lines about workers
     std::uint64_t crashes = 0;                     ///< caused by `crashing_tasks`
     std::uint64_t direct_holds = 0;                ///< holds that no other process may pass on
-    std::map<task_key, std::uint32_t> preemptions; ///< ordered by all leaders
+    std::set<run_key> preempted_runs;              ///< by all leaders
+    std::map<task_key, std::uint32_t> preemptions; ///< number of `preempted_runs` of each task
     double lost_core_seconds = 0;                  ///< by them
     std::map<task_key, base::time_point> first_starts;
     std::map<task_key, std::string> last_started_from; ///< checkpoint
