--- a/src/jobs/candidate_list.cpp
+++ b/src/jobs/candidate_list.cpp
@@ -88,7 +88,7 @@
     if (found != m_pools.end()) {
         return static_cast<std::size_t>(found - m_pools.begin());
     }
-    m_pools.push_back({name, {}, {}, 0});
+    m_pools.push_back({name, {}, {}, {}, 0});
     return m_pools.size() - 1;
 }
 
--- a/tests/controlplane/caller_service_test.cpp
+++ b/tests/controlplane/caller_service_test.cpp
@@ -53,50 +53,50 @@
         queue.name = "queue";
         queue.path_prefix = "/queue/";
         queue.open = true;
-        catalog.queues.push_back(queue);
+        m_catalog.queues.push_back(queue);
     }
 
     // The answer says that the job doesn't run, so nothing may be proposed.
     void forecast_refuses_job_is_not_proposed()
     {
-        verdict.is_admitted = false;
-        verdict.retry_after = 2'500ms;
+        m_verdict.is_admitted = false;
+        m_verdict.retry_after = 2'500ms;
         submit();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, answers.size());
-        CPPUNIT_ASSERT_EQUAL(429U, answers[0].status());
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500}, std::int64_t{answers[0].retry_after_ms()});
-        CPPUNIT_ASSERT(commits.empty());
-        CPPUNIT_ASSERT_EQUAL(0, submitted);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_answers.size());
+        CPPUNIT_ASSERT_EQUAL(429U, m_answers[0].status());
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{2'500}, std::int64_t{m_answers[0].retry_after_ms()});
+        CPPUNIT_ASSERT(m_commits.empty());
+        CPPUNIT_ASSERT_EQUAL(0, m_submitted);
     }
 
     void forecast_admits_job_is_proposed()
     {
         submit();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commits.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_commits.size());
         finish_commit(caller_service::commit_outcome::committed);
-        CPPUNIT_ASSERT_EQUAL(200U, answers.at(0).status());
+        CPPUNIT_ASSERT_EQUAL(200U, m_answers.at(0).status());
     }
 
     void job_accepted_is_acknowledged_again()
     {
         submit();
         finish_commit(caller_service::commit_outcome::committed);
-        verdict.is_admitted = false;
+        m_verdict.is_admitted = false;
         submit();
-        CPPUNIT_ASSERT_EQUAL(200U, answers.at(1).status());
-        CPPUNIT_ASSERT_EQUAL(1, judged);
+        CPPUNIT_ASSERT_EQUAL(200U, m_answers.at(1).status());
+        CPPUNIT_ASSERT_EQUAL(1, m_judged);
     }
 
     void commit_pending_job_is_not_judged()
     {
         submit();
-        verdict.is_admitted = false;
+        m_verdict.is_admitted = false;
         submit();
-        CPPUNIT_ASSERT(answers.empty());
-        CPPUNIT_ASSERT_EQUAL(1, judged);
+        CPPUNIT_ASSERT(m_answers.empty());
+        CPPUNIT_ASSERT_EQUAL(1, m_judged);
         finish_commit(caller_service::commit_outcome::committed);
-        CPPUNIT_ASSERT_EQUAL(200U, answers.at(0).status());
-        CPPUNIT_ASSERT_EQUAL(200U, answers.at(1).status());
+        CPPUNIT_ASSERT_EQUAL(200U, m_answers.at(0).status());
+        CPPUNIT_ASSERT_EQUAL(200U, m_answers.at(1).status());
     }
 
     // The first proposal may still be committed, so a refusal would not be true.
@@ -104,21 +104,21 @@
     {
         submit();
         finish_commit(caller_service::commit_outcome::unconfirmed);
-        CPPUNIT_ASSERT(answers.at(0).in_doubt());
-        verdict.is_admitted = false;
+        CPPUNIT_ASSERT(m_answers.at(0).in_doubt());
+        m_verdict.is_admitted = false;
         submit();
-        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, commits.size());
+        CPPUNIT_ASSERT_EQUAL(std::size_t{1}, m_commits.size());
         finish_commit(caller_service::commit_outcome::committed);
-        CPPUNIT_ASSERT_EQUAL(200U, answers.at(1).status());
+        CPPUNIT_ASSERT_EQUAL(200U, m_answers.at(1).status());
     }
 
     void commit_without_effect_job_is_judged_again()
     {
         submit();
         finish_commit(caller_service::commit_outcome::refused);
-        verdict.is_admitted = false;
+        m_verdict.is_admitted = false;
         submit();
-        CPPUNIT_ASSERT_EQUAL(429U, answers.at(1).status());
+        CPPUNIT_ASSERT_EQUAL(429U, m_answers.at(1).status());
     }
 
 private:
@@ -129,40 +129,41 @@
         proto::controlplane::CallerCall call;
         call.set_method("POST");
         call.set_path("/queue/00000000000000aa");
-        service.handle(base::time_point{1h}, 0ms, &catalog, call,
-                       [this](const caller_service::answer& answer) { answers.push_back(answer); });
+        m_service.handle(
+            base::time_point{1h}, 0ms, &m_catalog, call,
+            [this](const caller_service::answer& answer) { m_answers.push_back(answer); });
     }
 
     void finish_commit(caller_service::commit_outcome outcome)
     {
-        auto [operation, done] = std::move(commits.back());
-        commits.pop_back();
+        auto [operation, done] = std::move(m_commits.back());
+        m_commits.pop_back();
         if (outcome == caller_service::commit_outcome::committed) {
             proto::jobs::Batch batch;
             *batch.add_operations() = operation;
-            CPPUNIT_ASSERT(records.apply(batch.SerializeAsString()).ok());
+            CPPUNIT_ASSERT(m_records.apply(batch.SerializeAsString()).ok());
         }
         done(outcome);
     }
 
-    one_step_codec codec;
-    jobs::ledger records;
-    jobs::catalog catalog;
-    scheduling::admission_forecast::verdict verdict;
-    std::vector<std::pair<proto::jobs::Operation, commit_done>> commits;
-    std::vector<caller_service::answer> answers;
-    int judged = 0;
-    int submitted = 0;
-    caller_service service{
-        {&codec, [this]() -> const jobs::ledger& { return records; },
+    one_step_codec m_codec;
+    jobs::ledger m_records;
+    jobs::catalog m_catalog;
+    scheduling::admission_forecast::verdict m_verdict;
+    std::vector<std::pair<proto::jobs::Operation, commit_done>> m_commits;
+    std::vector<caller_service::answer> m_answers;
+    int m_judged = 0;
+    int m_submitted = 0;
+    caller_service m_service{
+        {&m_codec, [this]() -> const jobs::ledger& { return m_records; },
          [this](base::time_point, proto::jobs::Operation operation, commit_done done) {
-             commits.emplace_back(std::move(operation), std::move(done));
+             m_commits.emplace_back(std::move(operation), std::move(done));
          },
-         [this](base::time_point, const jobs::job_spec&) { ++submitted; },
+         [this](base::time_point, const jobs::job_spec&) { ++m_submitted; },
          [](base::time_point) { return base::wall_time{std::chrono::hours{400'000}}; },
          [this](base::time_point, const jobs::job_spec&) {
-             ++judged;
-             return verdict;
+             ++m_judged;
+             return m_verdict;
          }}};
 };
 
--- a/tests/scheduling/admission_forecast_test.cpp
+++ b/tests/scheduling/admission_forecast_test.cpp
@@ -54,10 +54,10 @@
     void processors_free_job_is_admitted()
     {
         put_seconds_of_work(1, 10s);
-        available.free = 9'000;
+        m_available.free = 9'000;
         CPPUNIT_ASSERT(judge(2).is_admitted);
         // Work that is ahead takes them first.
-        forecast.update({1, 0, 0}, {1'000'000, 4'000, 0});
+        m_forecast.update({1, 0, 0}, {1'000'000, 4'000, 0});
         put_seconds_of_work(3, 10s);
         CPPUNIT_ASSERT(!judge(2).is_admitted);
     }
@@ -66,7 +66,7 @@
     void waiting_work_cannot_use_free_processors_job_is_admitted()
     {
         put_seconds_of_work(1, 10s, 50'000);
-        available.free = 30'000;
+        m_available.free = 30'000;
         advance(100ms);
         CPPUNIT_ASSERT(!judge(2).is_admitted);
         advance(600ms);
@@ -77,23 +77,23 @@
     void work_due_later_is_not_ahead()
     {
         put_seconds_of_work(1, 10s);
-        put(2, 10s, wall + 60s);
-        objective = 2s;
-        forecast.remove(1);
+        put(2, 10s, m_wall + 60s);
+        m_objective = 2s;
+        m_forecast.remove(1);
         CPPUNIT_ASSERT(judge(3).is_admitted);
     }
 
     void lower_priority_is_not_ahead()
     {
         put_seconds_of_work(1, 10s);
-        priority = 1;
+        m_priority = 1;
         CPPUNIT_ASSERT(judge(2).is_admitted);
     }
 
     void urgent_job_is_judged_by_urgent_work_only()
     {
         put_seconds_of_work(1, 100s);
-        priority = 0;
+        m_priority = 0;
         const auto verdict = judge(2);
         CPPUNIT_ASSERT(verdict.is_admitted);
         CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, verdict.work_ahead);
@@ -105,22 +105,22 @@
     // arrived already.
     void higher_priority_keeps_arriving_wait_is_longer()
     {
-        priority = 1;
+        m_priority = 1;
         for (std::uint64_t id = 100; id < 600; ++id) {
-            put(id, 50ms, wall + 3s);
-            forecast.remove(id);
+            put(id, 50ms, m_wall + 3s);
+            m_forecast.remove(id);
             advance(100ms);
         }
-        priority = 2;
+        m_priority = 2;
         const auto verdict = judge(1);
         CPPUNIT_ASSERT(verdict.rate > 44'000 && verdict.rate < 49'000);
     }
 
     void long_running_tasks_reduce_the_rate()
     {
-        forecast.put({1, 0, 0}, "pool", 1, wall + 3s, {0, 0, 40'000});
+        m_forecast.put({1, 0, 0}, "pool", 1, m_wall + 3s, {0, 0, 40'000});
         CPPUNIT_ASSERT_EQUAL(std::int64_t{46'750}, judge(2).rate);
-        forecast.update({1, 0, 0}, {0, 0, 10'000});
+        m_forecast.update({1, 0, 0}, {0, 0, 10'000});
         CPPUNIT_ASSERT_EQUAL(std::int64_t{72'250}, judge(2).rate);
     }
 
@@ -132,14 +132,14 @@
         CPPUNIT_ASSERT(judge(2).is_admitted);
         advance(3'500ms);
         CPPUNIT_ASSERT(!judge(2).is_admitted);
-        forecast.remove(1);
+        m_forecast.remove(1);
         put_seconds_of_work(3, 1s);
         CPPUNIT_ASSERT(judge(4).is_admitted);
         // After that, jobs must be able to be in time.
         put_seconds_of_work(5, 2s);
         CPPUNIT_ASSERT(!judge(6).is_admitted);
-        forecast.remove(3);
-        forecast.remove(5);
+        m_forecast.remove(3);
+        m_forecast.remove(5);
         advance(31s);
         put_seconds_of_work(7, 3s);
         CPPUNIT_ASSERT(judge(8).is_admitted);
@@ -148,26 +148,26 @@
     void expired_work_is_not_ahead()
     {
         put_seconds_of_work(1, 10s);
-        forecast.expire(1, 0);
+        m_forecast.expire(1, 0);
         CPPUNIT_ASSERT(judge(2).is_admitted);
-        forecast.update({1, 0, 0}, {work_rate * 10'000, 1'000, 0});
+        m_forecast.update({1, 0, 0}, {work_rate * 10'000, 1'000, 0});
         CPPUNIT_ASSERT(judge(2).is_admitted);
-        forecast.remove(1);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, forecast.work("pool", 2));
+        m_forecast.remove(1);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_forecast.work("pool", 2));
     }
 
     void leader_new_refuses_nothing()
     {
-        admission_forecast fresh{{}, now};
-        fresh.put({1, 0, 0}, "pool", 2, wall + 3s, {work_rate * 10'000, 1'000, 0});
-        CPPUNIT_ASSERT(fresh.judge(now + 2'999ms, wall, job(2), available).is_admitted);
-        CPPUNIT_ASSERT(!fresh.judge(now + 3s, wall, job(2), available).is_admitted);
+        admission_forecast fresh{{}, m_now};
+        fresh.put({1, 0, 0}, "pool", 2, m_wall + 3s, {work_rate * 10'000, 1'000, 0});
+        CPPUNIT_ASSERT(fresh.judge(m_now + 2'999ms, m_wall, job(2), m_available).is_admitted);
+        CPPUNIT_ASSERT(!fresh.judge(m_now + 3s, m_wall, job(2), m_available).is_admitted);
     }
 
     void contact_lost_refuses_nothing_for_a_while()
     {
         put_seconds_of_work(1, 10s);
-        usable = 4;
+        m_usable = 4;
         advance(100ms);
         CPPUNIT_ASSERT(judge(2).is_admitted);
         advance(3s);
@@ -179,7 +179,7 @@
         put_seconds_of_work(1, 10s);
         auto exempt = job(2);
         exempt.is_exempt = true;
-        CPPUNIT_ASSERT(forecast.judge(now, wall, exempt, available).is_admitted);
+        CPPUNIT_ASSERT(m_forecast.judge(m_now, m_wall, exempt, m_available).is_admitted);
     }
 
     void refused_job_returns_in_time_is_admitted()
@@ -187,7 +187,7 @@
         put_seconds_of_work(1, 10s);
         const auto verdict = judge(2);
         CPPUNIT_ASSERT(!verdict.is_admitted);
-        forecast.remove(1);
+        m_forecast.remove(1);
         advance(verdict.retry_after);
         put_seconds_of_work(3, 1'500ms);
         CPPUNIT_ASSERT(judge(2).is_admitted);
@@ -227,10 +227,10 @@
         for (std::uint64_t id = 10; id < 110; ++id) {
             judge(id);
         }
-        forecast.remove(1);
+        m_forecast.remove(1);
         put_seconds_of_work(2, 1s);
         CPPUNIT_ASSERT(!judge(3).is_admitted);
-        forecast.remove(2);
+        m_forecast.remove(2);
         CPPUNIT_ASSERT(judge(4).is_admitted);
         advance(60s);
         put_seconds_of_work(5, 1s);
@@ -239,38 +239,38 @@
 
     void removed_and_updated_work_is_exact()
     {
-        forecast.put({1, 0, 0}, "pool", 2, wall + 3s, {1'000, 10, 0});
-        forecast.put({1, 0, 1}, "pool", 2, wall + 3s, {500, 0, 0});
-        forecast.put({2, 0, 0}, "pool", 2, wall + 3s, {0, 0, 0});
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'500}, forecast.work("pool", 2));
-        forecast.update({1, 0, 0}, {200, 0, 0});
-        forecast.update({3, 0, 0}, {200, 0, 0});
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{700}, forecast.work("pool", 2));
-        forecast.remove(1);
-        forecast.remove(2);
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, forecast.work("pool", 2));
-        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, forecast.work("none", 2));
+        m_forecast.put({1, 0, 0}, "pool", 2, m_wall + 3s, {1'000, 10, 0});
+        m_forecast.put({1, 0, 1}, "pool", 2, m_wall + 3s, {500, 0, 0});
+        m_forecast.put({2, 0, 0}, "pool", 2, m_wall + 3s, {0, 0, 0});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{1'500}, m_forecast.work("pool", 2));
+        m_forecast.update({1, 0, 0}, {200, 0, 0});
+        m_forecast.update({3, 0, 0}, {200, 0, 0});
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{700}, m_forecast.work("pool", 2));
+        m_forecast.remove(1);
+        m_forecast.remove(2);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_forecast.work("pool", 2));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{0}, m_forecast.work("none", 2));
     }
 
 private:
     void advance(base::duration time)
     {
-        now += time;
-        wall += std::chrono::duration_cast<std::chrono::milliseconds>(time);
-        forecast.tick(now, wall, {{"pool", available}}, 10, usable);
+        m_now += time;
+        m_wall += std::chrono::duration_cast<std::chrono::milliseconds>(time);
+        m_forecast.tick(m_now, m_wall, {{"pool", m_available}}, 10, m_usable);
     }
 
     void put(std::uint64_t id, std::chrono::milliseconds time, base::wall_time due,
              std::int64_t waiting = 0)
     {
-        forecast.put({id, 0, 0}, "pool", priority, due, {work_rate * time.count(), waiting, 0});
+        m_forecast.put({id, 0, 0}, "pool", m_priority, due, {work_rate * time.count(), waiting, 0});
     }
 
     /// Work that the pool does in this time.
     void put_seconds_of_work(std::uint64_t id, std::chrono::milliseconds time,
                              std::int64_t waiting = 0)
     {
-        put(id, time, wall + 3s, waiting);
+        put(id, time, m_wall + 3s, waiting);
     }
 
     admission_forecast::new_job job(std::uint64_t id) const
@@ -278,9 +278,9 @@
         admission_forecast::new_job out;
         out.id = id;
         out.pool = "pool";
-        out.priority = priority;
-        out.due = wall + objective;
-        out.objective = objective;
+        out.priority = m_priority;
+        out.due = m_wall + m_objective;
+        out.objective = m_objective;
         out.chain = 1s;
         out.work = work_rate * 100;
         out.first_millicores = 4'000;
@@ -289,19 +289,19 @@
 
     admission_forecast::verdict judge(std::uint64_t id)
     {
-        return forecast.judge(now, wall, job(id), available);
+        return m_forecast.judge(m_now, m_wall, job(id), m_available);
     }
 
     /// Of priorities after 0: what the headroom and the tail of slow tasks leave.
     static constexpr std::int64_t work_rate = 80'750;
 
-    base::time_point now{1h};
-    base::wall_time wall{std::chrono::hours{400'000}};
-    std::uint32_t priority = 2;
-    std::chrono::milliseconds objective{3'000};
-    std::size_t usable = 10;
-    admission_forecast::supply available{100'000, 0};
-    admission_forecast forecast{{}, now};
+    base::time_point m_now{1h};
+    base::wall_time m_wall{std::chrono::hours{400'000}};
+    std::uint32_t m_priority = 2;
+    std::chrono::milliseconds m_objective{3'000};
+    std::size_t m_usable = 10;
+    admission_forecast::supply m_available{100'000, 0};
+    admission_forecast m_forecast{{}, m_now};
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(admission_forecast_test);
