Divide a full fleet among accounts by weight

Cause: the weight of an account was decoded but not used. On a full fleet capacity went to whoever had the earliest ends of objective, or was looked at next, however much the account had already.

Change: step_order keeps the ready steps of each account sorted; a pass merges the accounts: jobs within `weight` a second first, then steps that can be in time, then the account that uses less of its share while the fleet is full, then the end of the objective. A step with many tasks takes places until another account's turn. The looks in vain of a pass are divided among the accounts.

--- a/include/lovagebeam/jobs/candidate_list.h
+++ b/include/lovagebeam/jobs/candidate_list.h
@@ -50,6 +50,7 @@
     /// All entries, also of workers that aren't usable.
     [[nodiscard]] std::deque<candidate>& all() { return m_candidates; }
     [[nodiscard]] const std::deque<candidate>& all() const { return m_candidates; }
+    [[nodiscard]] const std::vector<pool_total>& pools() const { return m_pools; }
     /// Returns nullptr for a pool without workers.
     [[nodiscard]] const pool_total* pool(const std::string& name) const;
 
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -4,6 +4,7 @@
 #include "lovagebeam/jobs/candidate_list.h"
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
+#include "lovagebeam/jobs/step_order.h"
 #include "lovagebeam/jobs/worker_table.h"
 
 #include "jobs.pb.h"
@@ -34,11 +35,18 @@
     double expiry_objectives = 3;
     /// After this many steps of one priority that could not be placed, a planning pass continues
     /// with the next priority, so that its cost doesn't grow with the backlog.
+    /// The number is divided among the accounts that have steps of the priority.
     std::uint32_t max_unplaceable_per_priority = 32;
     /// After this many steps of one priority that wait for the limit of their account, a planning
     /// pass passes over the account's other steps of the priority. They don't count as steps that
     /// could not be placed, since the capacity is there for other accounts.
     std::uint32_t max_at_limit_per_account = 32;
+    /// While a pool has at most this fraction free of some resource, and a step couldn't be placed
+    /// within `shortage_memory`, the fleet is full: accounts are planned by their shares. The rest
+    /// is headroom and what wide tasks leave unused of their workers.
+    double full_pool_free = 0.25;
+    /// Longer than all pauses in which a step that doesn't fit isn't looked at.
+    milliseconds shortage_memory{500};
     /// How often advice on further workers is requested for a step that fits on no allowed worker.
     milliseconds advice_query_interval{200};
     /// Minimum interval between planning passes, so that the events in between share one pass.
@@ -133,6 +141,9 @@
 
     [[nodiscard]] const worker_table& workers() const { return m_workers; }
     [[nodiscard]] std::size_t ready_step_count() const { return m_ready.size(); }
+    [[nodiscard]] const step_order& order() const { return m_order; }
+    /// Whether the fleet is full and the shares of several accounts decide.
+    [[nodiscard]] bool are_shares_in_force() const { return m_are_shares_in_force; }
     /// Number of runs whose placement is decided but not committed yet.
     [[nodiscard]] std::size_t planned_run_count() const { return m_planned.size(); }
 
@@ -141,9 +152,11 @@
         bool is_gang = false;
         std::uint32_t priority = 0;
         std::string account;
-        base::wall_time due_by;     ///< when the job's objective ends
-        base::wall_time late_at;    ///< a start after this time is too late for the objective
-        base::wall_time expires_at; ///< from then on the job earns nothing
+        std::int64_t task_use = 0;    ///< counted millicores of one task
+        std::int64_t waiting_use = 0; ///< of its tasks that could be placed if there were room
+        base::wall_time due_by;       ///< when the job's objective ends
+        base::wall_time late_at;      ///< a start after this time is too late for the objective
+        base::wall_time expires_at;   ///< from then on the job earns nothing
         base::time_point not_before;
         base::time_point next_look;        ///< see `planner_settings::look_interval`
         base::time_point query_not_before; ///< for advice on workers that no call has named
@@ -155,10 +168,6 @@
         /// or expired: the time since its job was accepted says nothing about it.
         bool is_restart = false;
     };
-    /// Order of planning: unexpired steps first, then by priority, then restarts, then those that
-    /// can still be in time, then by the end of the objective. The third value is false for
-    /// restarts.
-    using plan_rank = std::tuple<bool, std::uint32_t, bool, bool, base::wall_time, step_key>;
     using candidate_worker = candidate_list::candidate;
     struct assignment {
         std::uint32_t index = 0;
@@ -166,6 +175,7 @@
     };
     struct reservation {
         base::time_point until;
+        std::string account;
         std::vector<std::pair<candidate_worker*, size>> sizes;
     };
     struct planned_run {
@@ -187,6 +197,7 @@
         const step_spec& spec;
         const step_record& record;
         std::string pool;
+        std::int64_t budget; ///< see `planning_order::next_step`; one task is placed at least
     };
     /// Whether only workers with a currently valid ticket count as allowed.
     enum class ticket_rule { valid, any };
@@ -201,7 +212,7 @@
     void promote_restart(const step_key& key);
     void remove_ready_step(const step_key& key);
     void demote_late_steps(base::wall_time wall);
-    static plan_rank rank_of(const step_key& key, const ready_step& ready);
+    static step_order::step_rank rank_of(const step_key& key, const ready_step& ready);
     void remove_job(const job_record& job);
     void on_placed(base::time_point now, const proto::jobs::PlaceTasks& operation);
     void on_ended(base::time_point now, const proto::jobs::EndTask& operation);
@@ -226,6 +237,24 @@
     void update_candidate(base::time_point now, const base::worker_id& id);
     /// Whether one task of the step may fit on some candidate, judging by processors only.
     [[nodiscard]] bool may_fit(const planned_step& step) const;
+    /// The state of the fleet as the shares of accounts need it.
+    [[nodiscard]] pass_input make_pass_input(base::time_point now) const;
+    static std::int64_t counted_use(const size& booked);
+    /// Whether placing `more` for the step takes more than its budget.
+    static bool exceeds_budget(const planned_step& step, const size& more);
+    /// Whether the fleet has been short of capacity, and a pool still is nearly full.
+    [[nodiscard]] bool is_short(base::time_point now) const;
+    /// Whether more work waits than the free capacity can take.
+    [[nodiscard]] bool is_demand_above_free() const;
+    /// What a step that the advice service has just answered about may take beside the accounts'
+    /// shares: what is reserved for it, or nothing.
+    [[nodiscard]] std::int64_t answered_budget(const step_key& key) const;
+    /// Logs that shares began or ceased to decide.
+    void log_shares(const planning_order& pass);
+    /// Sorts the ready steps again by the weights of the configuration.
+    void apply_weights();
+    /// Counts a job that was just accepted against the rate of its account.
+    void count_accepted(const job_record& job);
     /// Calls `visit` with each candidate that advice allows under `rule`, or with all of them for
     /// a queue without advice.
     template <class Visit>
@@ -233,13 +262,7 @@
                           Visit visit);
     /// Plans the steps about which the advice service has answered since the last pass.
     void plan_answered_steps(base::time_point now);
-    /// Why no task of a step could be placed.
-    enum class obstacle {
-        none, ///< some could, or the step waits for something else than capacity
-        no_capacity,
-        account_limit,
-    };
-    obstacle plan_step(base::time_point now, const step_key& key);
+    obstacle plan_step(base::time_point now, const step_key& key, std::int64_t budget);
     /// Whether the limit of the account keeps each task of the step, or its whole gang, from being
     /// placed. Such a step gets advice for when the account may go on.
     bool is_stopped_by_limit(const planned_step& step);
@@ -323,7 +346,9 @@
     advice_scheduler m_advice;
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
-    std::set<plan_rank> m_order; ///< of the ready steps
+    step_order m_order;               ///< of the ready steps
+    base::time_point m_last_shortage; ///< when a step couldn't be placed for lack of capacity
+    bool m_are_shares_in_force = false;
     /// When ready steps become late and then expire.
     std::set<std::pair<base::wall_time, step_key>> m_demotions;
     std::set<std::pair<base::wall_time, step_key>>
--- /dev/null
+++ b/include/lovagebeam/jobs/step_order.h
@@ -0,0 +1,190 @@
+#pragma once
+
+#include "lovagebeam/jobs/ledger.h"
+#include "lovagebeam/scheduling/account_shares.h"
+
+#include <cstdint>
+#include <functional>
+#include <limits>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+namespace lovagebeam::jobs {
+
+/// The order in which ready steps are planned. It keeps the steps of each account sorted by what
+/// doesn't change with the use of the fleet; a planning pass merges the accounts by the use of
+/// their shares at that time. No I/O and no clock. Not thread-safe.
+///
+/// The next leader knows the order at once: it follows from the ledger and the configuration.
+class step_order {
+public:
+    /// What doesn't depend on other accounts: unexpired steps first, then by priority, then
+    /// restarts of long-running tasks, then steps that can still be in time, then by the end of the
+    /// objective. The third value is false for restarts.
+    using step_rank = std::tuple<bool, std::uint32_t, bool, bool, base::wall_time, step_key>;
+    struct account_counts {
+        std::size_t waiting_steps = 0;
+        std::uint64_t jobs_beyond_rate = 0; ///< accepted under this leader
+    };
+
+    /// Takes over the weights of the configuration and counts the jobs of the ledger again. Steps
+    /// that are in the order keep what they were ranked by; call it before the first is inserted,
+    /// or insert them again after `clear`.
+    void set_weights(const catalog& configured, const ledger& records);
+    /// Whether the weights of the configuration are those in use.
+    [[nodiscard]] bool has_weights_of(const catalog& configured) const;
+    void clear();
+
+    /// Counts a job that the ledger has just accepted. Call it before its steps are inserted; a job
+    /// that was counted before isn't counted again. Returns the number of the account's jobs beyond
+    /// its rate that have to be reported: 0 for most calls, so that a flood of jobs gives one
+    /// report a second.
+    std::uint64_t on_accepted(const job_record& job);
+    /// To be called when none of the job's steps is in the order any more.
+    void forget(job_number id);
+
+    void insert(const std::string& account, const step_rank& rank);
+    void erase(const std::string& account, const step_rank& rank);
+    /// Capacity that is reserved for steps of the account counts as used by it.
+    void add_reserved(const std::string& account, const size& more);
+    void remove_reserved(const std::string& account, const size& less);
+    [[nodiscard]] std::int64_t reserved_millicores(const std::string& account) const;
+
+    [[nodiscard]] const scheduling::account_shares& shares() const { return m_shares; }
+    /// Of the accounts that had ready steps, or jobs beyond their rate.
+    [[nodiscard]] std::map<std::string, account_counts> counts() const;
+
+private:
+    friend class planning_order;
+
+    struct account_steps {
+        std::set<step_rank> owed;
+        std::set<step_rank> beyond_rate;
+    };
+    struct beyond_rate_count {
+        std::uint64_t jobs = 0;
+        std::uint64_t reported = 0;
+        std::optional<base::wall_time> reported_at;
+    };
+    [[nodiscard]] std::set<step_rank>& steps_of(const std::string& account, job_number job);
+
+    scheduling::account_shares m_shares;
+    std::optional<std::map<std::string, double>> m_weights; ///< as configured
+    std::map<std::string, account_steps> m_accounts;        ///< those that had ready steps
+    std::map<job_number, bool> m_jobs;                      ///< whether it is beyond the rate
+    std::map<std::string, beyond_rate_count> m_beyond_rate;
+    std::map<std::string, std::int64_t> m_reserved; ///< counted millicores, by account
+};
+
+/// Why no task of a step could be placed.
+enum class obstacle {
+    none,  ///< some could, or the step waits for something else than capacity
+    share, ///< some could, and others are left to accounts that use less of their share
+    no_capacity,
+    account_limit,
+};
+
+/// How many steps of one priority a planning pass looks at in vain.
+struct pass_limits {
+    std::uint32_t unplaceable = 32; ///< divided among the accounts with such steps
+    std::uint32_t at_limit = 32;    ///< for each account
+};
+
+/// The state of the fleet for one planning pass.
+struct pass_input {
+    bool is_full = false;      ///< the use of shares counts
+    std::int64_t capacity = 0; ///< in counted millicores
+    /// Returns the counted millicores that an account uses, with what is planned for it.
+    std::function<std::int64_t(const std::string&)> used;
+    pass_limits limits;
+    /// Returns the counted millicores of one task of a ready step. Without it they count as 0.
+    std::function<std::int64_t(const step_key&)> task_use;
+};
+
+/// One planning pass over a `step_order`, which must outlive it. Between two calls of `next` the
+/// step that was returned may leave the order, but no other one may, and none may enter it.
+///
+/// While several accounts have ready steps, those that are owed come before others of the same
+/// priority; while the fleet is full, accounts that use less of their share come first among steps
+/// that are equal up to lateness. An account with too many steps that can't be placed is passed
+/// over up to the next priority, so that it neither makes the pass long nor ends it for others.
+class planning_order {
+public:
+    planning_order(const step_order& order, pass_input input);
+
+    static constexpr auto unlimited = std::numeric_limits<std::int64_t>::max();
+    struct next_step {
+        step_key key;
+        /// Whether to plan the step even if it was looked at in vain a moment ago. Without this,
+        /// capacity that becomes free between two looks goes to whichever account is looked at
+        /// next.
+        bool is_first_of_account = false;
+        /// Counted millicores after which another account comes first with steps that are equal up
+        /// to lateness.
+        std::int64_t budget = unlimited;
+    };
+    std::optional<next_step> next();
+    /// Reports the outcome for the step that `next` returned last, if it was planned. After
+    /// `obstacle::share` the step comes again once it is its turn.
+    void on_planned(obstacle outcome);
+    /// Makes the use of shares count from now on.
+    void set_full() { m_input.is_full = true; }
+    [[nodiscard]] bool is_full() const { return m_input.is_full; }
+    [[nodiscard]] bool is_shared() const { return m_accounts.size() > 1; }
+
+private:
+    struct account_state {
+        const std::string* name = nullptr;
+        std::uint32_t unplaceable = 0; ///< of the level, like the next one
+        std::uint32_t at_limit = 0;
+        std::optional<std::int64_t> used; ///< counted millicores, unless to be asked again
+    };
+    /// The steps of an account that are owed, or those beyond its rate.
+    struct step_stream {
+        const std::set<step_order::step_rank>* steps = nullptr;
+        std::set<step_order::step_rank>::const_iterator next;
+        std::size_t account = 0;
+        bool is_beyond_rate = false;
+    };
+    /// Steps of one priority that are all expired or all unexpired are planned as one level.
+    using level = std::pair<bool, std::uint32_t>;
+    struct entry {
+        level of;
+        bool is_no_restart = false;
+        bool is_beyond_rate = false;
+        bool is_late = false;
+        std::int64_t share_rank = 0;
+        base::wall_time due_by;
+        step_key key;
+        std::size_t stream = 0;
+        friend auto operator<=>(const entry&, const entry&) = default;
+    };
+
+    [[nodiscard]] entry entry_of(std::size_t index);
+    [[nodiscard]] std::int64_t share_rank(account_state& account, const step_key& next) const;
+    [[nodiscard]] bool is_passed_over(const account_state& account) const;
+    void push(std::size_t index);
+    void begin_level(const level& next);
+    /// Removes the first step, whose account has had its looks, and the others of its level.
+    void pass_over_front();
+    /// Returns what the account of `current` may use for it before that of the first other step
+    /// comes first.
+    [[nodiscard]] std::int64_t budget_of(const entry& current);
+
+    pass_input m_input;
+    const scheduling::account_shares& m_shares;
+    scheduling::account_shares::division m_division;
+    std::vector<account_state> m_accounts;
+    std::vector<step_stream> m_streams;
+    std::vector<entry> m_heap; ///< the first step of each stream, except of the one that is planned
+    std::optional<std::size_t> m_planned; ///< stream of the step that `next` returned last
+    step_order::step_rank m_planned_rank; ///< of that step
+    std::optional<level> m_level;
+    std::uint32_t m_unplaceable_limit = 0; ///< for each account of the level
+};
+
+} // namespace lovagebeam::jobs
--- a/include/lovagebeam/scheduling/account_shares.h
+++ b/include/lovagebeam/scheduling/account_shares.h
@@ -51,6 +51,9 @@
     /// are equal, so that their other ranks decide.
     [[nodiscard]] std::int64_t rank(std::string_view account, std::int64_t used,
                                     const division& among) const;
+    /// Returns the least use, in counted millicores, at which the account ranks after `rank`.
+    [[nodiscard]] std::int64_t least_use_after(std::string_view account, std::int64_t rank,
+                                               const division& among) const;
 
 private:
     struct job_rate {
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -67,6 +67,7 @@
 void coordinator::on_catalog(std::shared_ptr<const catalog> catalog)
 {
     m_catalog = std::move(catalog);
+    apply_weights();
     m_needs_planning = true;
 }
 
@@ -135,6 +136,7 @@
         switch (operation.body_case()) {
         case pb::Operation::kAccept:
             if (const auto* const job = m_ledger.find(job_number{operation.accept().spec().id()})) {
+                count_accepted(*job);
                 add_ready_steps(*job);
             }
             break;
@@ -221,14 +223,17 @@
     ready.is_gang = job.spec.steps[key.step].gang;
     ready.priority = job.spec.priority;
     ready.account = job.spec.account;
+    ready.task_use = counted_use(booked_size(job.spec.steps[key.step]));
     ready.due_by = objective_end(job.spec, from, 1);
     ready.late_at = ready.due_by - job.spec.steps[key.step].estimate;
     ready.expires_at = objective_end(job.spec, from, m_settings.planner.expiry_objectives);
+    const auto& record = job.step(key.occurrence, key.step);
+    ready.waiting_use = ready.task_use * (std::int64_t{record.undone} - record.placed);
     if (m_ready.emplace(key, ready).second) {
-        m_order.insert(rank_of(key, ready));
+        m_order.insert(ready.account, rank_of(key, ready));
         m_demotions.emplace(ready.late_at, key);
     }
-    if (has_restart(job.spec.steps[key.step], job.step(key.occurrence, key.step))) {
+    if (has_restart(job.spec.steps[key.step], record)) {
         promote_restart(key);
     }
 }
@@ -239,16 +244,16 @@
     if (ready.is_restart) {
         return;
     }
-    m_order.erase(rank_of(key, ready));
+    m_order.erase(ready.account, rank_of(key, ready));
     m_demotions.erase({ready.is_late ? ready.expires_at : ready.late_at, key});
     ready.is_restart = true;
     ready.is_late = false;
     ready.is_expired = false;
-    m_order.insert(rank_of(key, ready));
+    m_order.insert(ready.account, rank_of(key, ready));
     m_advice.change_rank(key, call_rank_of(ready));
 }
 
-coordinator::plan_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
+step_order::step_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
 {
     return {ready.is_expired, ready.priority, !ready.is_restart, ready.is_late, ready.due_by, key};
 }
@@ -257,7 +262,7 @@
 {
     const auto found = m_ready.find(key);
     if (found != m_ready.end()) {
-        m_order.erase(rank_of(key, found->second));
+        m_order.erase(found->second.account, rank_of(key, found->second));
         m_demotions.erase(
             {found->second.is_late ? found->second.expires_at : found->second.late_at, key});
         m_ready.erase(found);
@@ -270,7 +275,7 @@
         const auto key = m_demotions.begin()->second;
         m_demotions.erase(m_demotions.begin());
         auto& ready = m_ready.at(key);
-        m_order.erase(rank_of(key, ready));
+        m_order.erase(ready.account, rank_of(key, ready));
         if (ready.is_late) {
             ready.is_expired = true;
         }
@@ -278,7 +283,7 @@
             ready.is_late = true;
             m_demotions.emplace(ready.expires_at, key);
         }
-        m_order.insert(rank_of(key, ready));
+        m_order.insert(ready.account, rank_of(key, ready));
         m_advice.change_rank(key, call_rank_of(ready));
     }
 }
@@ -310,6 +315,7 @@
     }
     std::erase_if(m_scheduled_steps,
                   [&](const auto& entry) { return entry.second.job == job.spec.id; });
+    m_order.forget(job.spec.id);
 }
 
 void coordinator::stop_job(base::time_point now, const job_record& job)
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -79,59 +79,42 @@
     }
     m_candidates.begin_pass();
     plan_answered_steps(now);
-    std::uint32_t unplaceable = 0;
-    std::map<std::string, std::uint32_t> at_limit; ///< of the level, by account
-    std::optional<std::pair<bool, std::uint32_t>> level;
-    for (auto entry = m_order.begin(); entry != m_order.end();) {
-        const auto is_expired = std::get<0>(*entry);
-        const auto priority = std::get<1>(*entry);
-        if (level != std::pair{is_expired, priority}) {
-            level = {is_expired, priority};
-            unplaceable = 0;
-            at_limit.clear();
-        }
-        if (unplaceable >= m_settings.planner.max_unplaceable_per_priority) {
-            entry = m_order.lower_bound({is_expired, priority + 1, false, false, {}, {}});
-            continue;
-        }
-        // Planning may remove the step.
-        const auto key = std::get<step_key>(*entry++);
-        const auto& ready = m_ready.at(key);
-        if (now < ready.next_look) {
+    planning_order pass{m_order, make_pass_input(now)};
+    while (const auto step = pass.next()) {
+        if (now < m_ready.at(step->key).next_look && !step->is_first_of_account) {
             m_needs_planning = true;
             continue;
         }
-        const auto found = at_limit.find(ready.account);
-        if (found != at_limit.end() &&
-            found->second >= m_settings.planner.max_at_limit_per_account) {
-            continue;
-        }
-        const auto account = ready.account;
-        switch (plan_step(now, key)) {
-        case obstacle::no_capacity:
-            ++unplaceable;
-            break;
-        case obstacle::account_limit:
-            ++at_limit[account];
-            break;
-        case obstacle::none:
-            break;
+        const auto outcome = plan_step(now, step->key, step->budget);
+        if (outcome == obstacle::no_capacity) {
+            m_last_shortage = now;
+            if (!pass.is_full() && is_short(now)) {
+                pass.set_full();
+            }
         }
+        pass.on_planned(outcome);
     }
+    log_shares(pass);
 }
 
 // Capacity is reserved for these until their tickets expire, so they don't wait behind steps that
 // may not fit.
 void coordinator::plan_answered_steps(base::time_point now)
 {
-    std::set<plan_rank> answered;
+    std::set<step_order::step_rank> answered;
     for (const auto& key : std::exchange(m_answered, {})) {
         if (const auto found = m_ready.find(key); found != m_ready.end()) {
             answered.insert(rank_of(key, found->second));
         }
     }
     for (const auto& rank : answered) {
-        static_cast<void>(plan_step(now, std::get<step_key>(rank)));
+        const auto key = std::get<step_key>(rank);
+        if (const auto budget = answered_budget(key); budget > 0) {
+            static_cast<void>(plan_step(now, key, budget));
+        }
+        else {
+            m_ready.at(key).next_look = {};
+        }
     }
 }
 
@@ -142,7 +125,7 @@
                                : base::duration{m_settings.planner.look_interval};
 }
 
-coordinator::obstacle coordinator::plan_step(base::time_point now, const step_key& planned)
+obstacle coordinator::plan_step(base::time_point now, const step_key& planned, std::int64_t budget)
 {
     const auto key = planned;
     auto& ready = m_ready.at(key);
@@ -151,8 +134,12 @@
         remove_ready_step(key);
         return obstacle::none;
     }
-    const planned_step step{*job, key, job->spec.steps[key.step],
-                            job->step(key.occurrence, key.step), pool_of(job->spec)};
+    planned_step step{*job,
+                      key,
+                      job->spec.steps[key.step],
+                      job->step(key.occurrence, key.step),
+                      pool_of(job->spec),
+                      budget};
     if (now < ready.not_before) {
         m_needs_planning = true;
         return obstacle::none;
@@ -170,6 +157,7 @@
     }
     if (is_stopped_by_limit(step)) {
         ready.next_look = now + look_interval(ready);
+        ready.waiting_use = 0;
         return obstacle::account_limit;
     }
     if (!may_fit(step)) {
@@ -178,12 +166,14 @@
     }
     const auto chosen = assign(now, step, ticket_rule::valid);
     commit(now, step, chosen);
+    step.budget -= static_cast<std::int64_t>(chosen.size()) * ready.task_use;
     std::uint32_t waiting = 0;
     for (std::uint32_t index = 0; index < step.record.tasks.size(); ++index) {
         const auto& task = step.record.tasks[index];
         const bool is_planned = m_planned.contains({key.job, key.occurrence, key.step, index});
         waiting += task.placed || task.done || is_planned ? 0 : 1;
     }
+    ready.waiting_use = ready.task_use * waiting;
     if (waiting == 0) {
         release_reservation(key);
         remove_ready_step(key);
@@ -192,6 +182,9 @@
     if (chosen.empty()) {
         ready.next_look = now + look_interval(ready);
     }
+    else if (!is_call_open && exceeds_budget(step, booked_size(step.spec))) {
+        return obstacle::share;
+    }
     // A step that waits for advice doesn't mean that there is no capacity for others.
     const bool waits_for_advice =
         is_call_open ? m_reserved.contains(key)
@@ -365,7 +358,9 @@
     size total;
     bool is_whole = true;
     for (const auto index : waiting_tasks(step)) {
-        if (!is_within_limit(step.job.spec.account, total + booked) ||
+        const bool is_over_budget =
+            !step.spec.gang && !chosen.empty() && exceeds_budget(step, total + booked);
+        if (is_over_budget || !is_within_limit(step.job.spec.account, total + booked) ||
             !has_headroom(step, total + booked)) {
             is_whole = false;
             break;
--- a/src/jobs/planning_advice.cpp
+++ b/src/jobs/planning_advice.cpp
@@ -26,9 +26,11 @@
     const auto booked = booked_size(step.spec);
     reservation made;
     made.until = now + m_settings.planner.reservation;
+    made.account = step.job.spec.account;
     for (const auto& one : chosen) {
         made.sizes.emplace_back(one.worker, booked);
         m_candidates.book(*one.worker, booked);
+        m_order.add_reserved(made.account, booked);
     }
     m_reserved.emplace(step.key, std::move(made));
 }
@@ -41,6 +43,7 @@
     }
     for (const auto& [worker, booked] : found->second.sizes) {
         m_candidates.release(*worker, booked);
+        m_order.remove_reserved(found->second.account, booked);
     }
     m_reserved.erase(found);
 }
--- a/src/scheduling/account_shares.cpp
+++ b/src/scheduling/account_shares.cpp
@@ -87,4 +87,15 @@
         std::min(max_rank, static_cast<double>(used) / share * rank_steps));
 }
 
+std::int64_t account_shares::least_use_after(std::string_view account, std::int64_t rank,
+                                             const division& among) const
+{
+    if (among.capacity <= 0 || among.total_weight <= 0) {
+        return 0;
+    }
+    const auto share = static_cast<double>(among.capacity) * (weight(account) / among.total_weight);
+    return static_cast<std::int64_t>(
+        std::min(max_rank, static_cast<double>(rank + 1) / rank_steps * share));
+}
+
 } // namespace lovagebeam::scheduling
--- a/tests/scheduling/account_shares_test.cpp
+++ b/tests/scheduling/account_shares_test.cpp
@@ -126,6 +126,7 @@
     CPPUNIT_TEST_SUITE(share_rank_test);
     CPPUNIT_TEST(accounts_are_ranked_by_use_of_share);
     CPPUNIT_TEST(accounts_about_even_are_equal);
+    CPPUNIT_TEST(use_least_after_rank_has_next_rank);
     CPPUNIT_TEST(figures_extreme_rank_is_finite);
     CPPUNIT_TEST_SUITE_END();
 
@@ -147,6 +148,13 @@
                              m_shares.rank("b", 20'100, m_fleet));
     }
 
+    void use_least_after_rank_has_next_rank()
+    {
+        const auto use = m_shares.least_use_after("a", 20, m_fleet);
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{21}, m_shares.rank("a", use, m_fleet));
+        CPPUNIT_ASSERT_EQUAL(std::int64_t{20}, m_shares.rank("a", use - 1, m_fleet));
+    }
+
     void figures_extreme_rank_is_finite()
     {
         const auto most = std::numeric_limits<std::int64_t>::max();
