Show the shares of accounts in metrics; read a missing weight as 1

Gauges for each account: what it uses, its waiting steps, its jobs beyond its rate; and whether shares decide. A configuration without a weight gave the account a weight of 0, which now means hardly any share.

--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -119,6 +119,32 @@
         .set(static_cast<double>(used.millicores));
     m_registry.gauge_named("lovagebeam_waiting_steps")
         .set(leader == nullptr ? 0 : static_cast<double>(leader->ready_step_count()));
+    update_accounts(records, leader);
+}
+
+void core_metrics::update_accounts(const jobs::ledger& records, const jobs::coordinator* leader)
+{
+    m_registry.gauge_named("lovagebeam_shares_in_force")
+        .set(leader != nullptr && leader->are_shares_in_force() ? 1 : 0);
+    const auto counts =
+        leader == nullptr ? decltype(leader->order().counts()){} : leader->order().counts();
+    for (const auto& [account, count] : counts) {
+        m_accounts.insert(account);
+    }
+    for (const auto& account : m_accounts) {
+        const auto set = [&](std::string_view name, double value) {
+            m_registry.gauge_named(with_label(name, "account", account)).set(value);
+        };
+        const auto found = counts.find(account);
+        const auto count =
+            found == counts.end() ? jobs::step_order::account_counts{} : found->second;
+        const auto used = records.used_by(account);
+        set("lovagebeam_account_booked_millicores",
+            static_cast<double>(
+                scheduling::counted_millicores(used.millicores, used.accelerators)));
+        set("lovagebeam_account_waiting_steps", static_cast<double>(count.waiting_steps));
+        set("lovagebeam_account_jobs_beyond_rate", static_cast<double>(count.jobs_beyond_rate));
+    }
 }
 
 } // namespace lovagebeam::controlplane
--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -4,6 +4,8 @@
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/telemetry/metrics.h"
 
+#include <set>
+#include <string>
 #include <string_view>
 
 namespace lovagebeam::controlplane {
@@ -25,11 +27,13 @@
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
 private:
+    void update_accounts(const jobs::ledger& records, const jobs::coordinator* leader);
     void count(std::string_view name, std::string_view label, std::string_view value);
     void record(std::string_view name, std::string_view label, std::string_view value,
                 base::duration took);
 
     telemetry::metrics_registry& m_registry;
+    std::set<std::string> m_accounts; ///< with gauges, so that they don't keep old values
 };
 
 } // namespace lovagebeam::controlplane
--- a/tests/adapter/documents_test.cpp
+++ b/tests/adapter/documents_test.cpp
@@ -34,6 +34,7 @@
     CPPUNIT_TEST(catalog_valid_document_is_read_in_full);
     CPPUNIT_TEST(catalog_longest_prefix_selects_queue);
     CPPUNIT_TEST(catalog_invalid_document_is_rejected);
+    CPPUNIT_TEST(catalog_weight_missing_is_1);
     CPPUNIT_TEST(job_omitted_fields_have_their_zero_value);
     CPPUNIT_TEST(job_every_field_is_read);
     CPPUNIT_TEST(job_malformed_document_is_rejected);
@@ -80,6 +81,14 @@
         }
     }
 
+    // Guards against an account that gets hardly any share because its weight wasn't sent.
+    void catalog_weight_missing_is_1()
+    {
+        const auto found = m_codec.decode_catalog(configuration(R"("weight":26,)", ""));
+        CPPUNIT_ASSERT(found.ok());
+        CPPUNIT_ASSERT_EQUAL(1.0, found->accounts.at("t1").weight);
+    }
+
     void job_omitted_fields_have_their_zero_value()
     {
         const auto job = m_codec.decode_job(R"({"spec":"x","phases":[{"count":2,"cpu":500}]})");
