--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -208,7 +208,7 @@
     void on_worker_changed(base::time_point now, const base::worker_id& id);
     void add_ready_steps(const job_record& job);
     void add_ready_step(const job_record& job, const step_key& key);
-    /// Ranks a ready step as a restart.
+    /// Ranks a ready step as a restart if it is one.
     void promote_restart(const step_key& key);
     void remove_ready_step(const step_key& key);
     void demote_late_steps(base::wall_time wall);
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -28,14 +28,6 @@
     return how == pb::END_KIND_NOT_STARTED || how == pb::END_KIND_ALONE;
 }
 
-/// Whether a task of a long-running step was placed before and has to be placed again.
-bool has_restart(const step_spec& spec, const step_record& record)
-{
-    return spec.long_running && std::ranges::any_of(record.tasks, [](const task_record& task) {
-               return !task.done && !task.placed && task.attempt > 0;
-           });
-}
-
 } // namespace
 
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
@@ -233,24 +225,7 @@
         m_order.insert(ready.account, rank_of(key, ready));
         m_demotions.emplace(ready.late_at, key);
     }
-    if (has_restart(job.spec.steps[key.step], record)) {
-        promote_restart(key);
-    }
-}
-
-void coordinator::promote_restart(const step_key& key)
-{
-    auto& ready = m_ready.at(key);
-    if (ready.is_restart) {
-        return;
-    }
-    m_order.erase(ready.account, rank_of(key, ready));
-    m_demotions.erase({ready.is_late ? ready.expires_at : ready.late_at, key});
-    ready.is_restart = true;
-    ready.is_late = false;
-    ready.is_expired = false;
-    m_order.insert(ready.account, rank_of(key, ready));
-    m_advice.change_rank(key, call_rank_of(ready));
+    promote_restart(key);
 }
 
 step_order::step_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
