--- a/src/controlplane/core_metrics.h
+++ b/src/controlplane/core_metrics.h
@@ -5,6 +5,8 @@
 #include "lovagebeam/telemetry/metrics.h"
 
 #include <cstdint>
+#include <set>
+#include <string>
 #include <string_view>
 #include <vector>
 
@@ -34,12 +36,14 @@
     void update(const jobs::ledger& records, const jobs::coordinator* leader, base::time_point now);
 
 private:
+    void update_accounts(const jobs::ledger& records, const jobs::coordinator* leader);
     void count(std::string_view name, std::string_view label, std::string_view value);
     void record(std::string_view name, std::string_view label, std::string_view value,
                 base::duration took);
 
     telemetry::metrics_registry& m_registry;
     double m_preempted_core_seconds = 0; ///< work thrown away since the process started
+    std::set<std::string> m_accounts;    ///< with gauges, so that they don't keep old values
 };
 
 } // namespace lovagebeam::controlplane
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -30,14 +30,6 @@
     return how == pb::END_KIND_NOT_STARTED || how == pb::END_KIND_ALONE;
 }
 
-/// Whether a task of a long-running step was placed before and has to be placed again.
-bool has_restart(const step_spec& spec, const step_record& record)
-{
-    return spec.long_running && std::ranges::any_of(record.tasks, [](const task_record& task) {
-               return !task.done && !task.placed && task.attempt > 0;
-           });
-}
-
 } // namespace
 
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
@@ -78,6 +70,7 @@
 void coordinator::on_catalog(std::shared_ptr<const catalog> catalog)
 {
     m_catalog = std::move(catalog);
+    apply_weights();
     m_needs_planning = true;
 }
 
@@ -146,6 +139,7 @@
         switch (operation.body_case()) {
         case pb::Operation::kAccept:
             if (const auto* const job = m_ledger.find(job_number{operation.accept().spec().id()})) {
+                count_accepted(*job);
                 add_ready_steps(*job);
             }
             break;
@@ -237,36 +231,22 @@
     ready.is_gang = job.spec.steps[key.step].gang;
     ready.priority = job.spec.priority;
     ready.account = job.spec.account;
+    ready.task_use = counted_use(booked_size(job.spec.steps[key.step]));
     const auto chains = remaining_chains(job.spec, advice_time(advice_for(job.spec)), m_estimates);
     const auto longest = longest_chain(chains);
     ready.due_by = from + objective_of(job.spec, longest, 1);
     ready.late_at = ready.due_by - chains[key.step];
     ready.expires_at = from + objective_of(job.spec, longest, m_settings.planner.expiry_objectives);
+    const auto& record = job.step(key.occurrence, key.step);
+    ready.waiting_use = ready.task_use * (std::int64_t{record.undone} - record.placed);
     if (m_ready.emplace(key, ready).second) {
-        m_order.insert(rank_of(key, ready));
+        m_order.insert(ready.account, rank_of(key, ready));
         m_demotions.emplace(ready.late_at, key);
     }
-    if (has_restart(job.spec.steps[key.step], job.step(key.occurrence, key.step))) {
-        promote_restart(key);
-    }
-}
-
-void coordinator::promote_restart(const step_key& key)
-{
-    auto& ready = m_ready.at(key);
-    if (ready.is_restart) {
-        return;
-    }
-    m_order.erase(rank_of(key, ready));
-    m_demotions.erase({ready.is_late ? ready.expires_at : ready.late_at, key});
-    ready.is_restart = true;
-    ready.is_late = false;
-    ready.is_expired = false;
-    m_order.insert(rank_of(key, ready));
-    m_advice.change_rank(key, call_rank_of(ready));
+    promote_restart(key);
 }
 
-coordinator::plan_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
+step_order::step_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
 {
     return {ready.is_expired, ready.priority, !ready.is_restart, ready.is_late, ready.due_by, key};
 }
@@ -275,7 +255,7 @@
 {
     const auto found = m_ready.find(key);
     if (found != m_ready.end()) {
-        m_order.erase(rank_of(key, found->second));
+        m_order.erase(found->second.account, rank_of(key, found->second));
         m_demotions.erase(
             {found->second.is_late ? found->second.expires_at : found->second.late_at, key});
         release_preempted_room(key);
@@ -290,7 +270,7 @@
         const auto key = m_demotions.begin()->second;
         m_demotions.erase(m_demotions.begin());
         auto& ready = m_ready.at(key);
-        m_order.erase(rank_of(key, ready));
+        m_order.erase(ready.account, rank_of(key, ready));
         if (ready.is_late) {
             ready.is_expired = true;
             m_forecast.expire(key.job.value(), key.occurrence);
@@ -299,7 +279,7 @@
             ready.is_late = true;
             m_demotions.emplace(ready.expires_at, key);
         }
-        m_order.insert(rank_of(key, ready));
+        m_order.insert(ready.account, rank_of(key, ready));
         m_advice.change_rank(key, call_rank_of(ready));
     }
 }
@@ -335,6 +315,7 @@
     std::erase_if(m_scheduled_steps,
                   [&](const auto& entry) { return entry.second.job == job.spec.id; });
     m_preemption->planner.forget(job.spec.id.value());
+    m_order.forget(job.spec.id);
 }
 
 void coordinator::stop_job(base::time_point now, const job_record& job)
--- a/src/jobs/gang_holds.cpp
+++ b/src/jobs/gang_holds.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/coordinator.h"
 
 #include <algorithm>
+#include <limits>
 #include <utility>
 #include <vector>
 
@@ -30,7 +31,12 @@
     }
     const auto& job = *m_ledger.find(key.job);
     const auto& record = job.step(key.occurrence, key.step);
-    const planned_step step{job, key, job.spec.steps[key.step], record, pool_of(job.spec)};
+    const planned_step step{job,
+                            key,
+                            job.spec.steps[key.step],
+                            record,
+                            pool_of(job.spec),
+                            std::numeric_limits<std::int64_t>::max()};
     if (record.placed > 0 || !is_within_limit(job.spec.account, total_size(step))) {
         return;
     }
