--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -167,12 +167,7 @@
     const auto chosen = assign(now, step, ticket_rule::valid);
     commit(now, step, chosen);
     step.budget -= static_cast<std::int64_t>(chosen.size()) * ready.task_use;
-    std::uint32_t waiting = 0;
-    for (std::uint32_t index = 0; index < step.record.tasks.size(); ++index) {
-        const auto& task = step.record.tasks[index];
-        const bool is_planned = m_planned.contains({key.job, key.occurrence, key.step, index});
-        waiting += task.placed || task.done || is_planned ? 0 : 1;
-    }
+    const auto waiting = static_cast<std::int64_t>(waiting_tasks(step).size());
     ready.waiting_use = ready.task_use * waiting;
     if (waiting == 0) {
         release_reservation(key);
