Place work by the speed of workers

Cause: placement looked only at where a task fits. Urgent work and gangs ran on workers of speed 0.6, or on workers that had just started and were cold, while faster ones had room.

Change: scheduling::worker_speeds learns each worker's speed from steps whose tasks ran on at least three workers, once all of them have ended. Cold workers are known from the heartbeat (coldRemainingMs), which is passed to the leader's memory and not committed; a follower redirects such a heartbeat. In a pool with a slow or fast worker, single tasks go to the slowest class of workers that is fast enough for their objective, else to the fastest; gangs are confined to workers of one class, the fastest with room; racks are tried by their mean speed. Best fit applies within that. In a pool of equal workers the choice is the former one. Log lines worker_speed_changed and worker_cold, gauges lovagebeam_workers{state="slow|fast|cold"}.

Not included: learning from jobs with one or two tasks a step and from the progress of gang members (docs/design/worker-speeds.md).

--- a/include/lovagebeam/controlplane/ports.h
+++ b/include/lovagebeam/controlplane/ports.h
@@ -72,6 +72,7 @@
     jobs::worker_info info;
     jobs::worker_time clock{};
     std::uint64_t sequence = 0; ///< increases with each report of one worker instance
+    std::chrono::milliseconds cold_remaining{}; ///< how much longer it is slow after its start
 };
 
 /// Outcome of a worker's or an operator's call to the core.
--- a/include/lovagebeam/jobs/candidate_list.h
+++ b/include/lovagebeam/jobs/candidate_list.h
@@ -22,6 +22,7 @@
         size capacity; ///< as counted in the pool
         size planned;  ///< decided or reserved, not yet in the ledger
         bool is_usable = false;
+        double speed = 1; ///< relative to the median of the pool
         std::size_t pool = 0;
     };
     struct pool_total {
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -5,6 +5,7 @@
 #include "lovagebeam/jobs/ledger.h"
 #include "lovagebeam/jobs/orders.h"
 #include "lovagebeam/jobs/worker_table.h"
+#include "lovagebeam/scheduling/worker_speeds.h"
 
 #include "jobs.pb.h"
 
@@ -49,6 +50,8 @@
     /// A step of priority 1 or lower of which no task could be placed isn't planned again before
     /// this time has passed or advice on it has come.
     milliseconds look_interval{40};
+    /// How often the speeds of workers are derived from their runs.
+    milliseconds speed_interval{500};
     /// How long ended jobs are retained.
     milliseconds retention{150'000};
     milliseconds forget_interval{5'000};
@@ -73,6 +76,7 @@
     worker_settings workers;
     advice_settings advice;
     planner_settings planner;
+    scheduling::speed_settings speeds;
 };
 
 /// Actions that the coordinator requests. Only the order of `batches` matters.
@@ -109,6 +113,9 @@
     void on_batch_committed(std::uint64_t id);
 
     void on_clock(base::time_point now, const base::worker_id& worker, worker_time clock);
+    /// A worker reported how much longer it is slow after its start; 0 if it isn't.
+    void on_worker_cold(base::time_point now, const base::worker_id& worker,
+                        base::wall_time started_at, milliseconds remaining);
     void on_start_answer(base::time_point now, const run_key& run, const base::worker_id& worker,
                          start_outcome outcome);
     void on_stop_done(base::time_point now, const run_key& run, const base::worker_id& worker);
@@ -127,6 +134,7 @@
     void on_planning_time(base::time_point now, base::duration took);
 
     [[nodiscard]] const worker_table& workers() const { return m_workers; }
+    [[nodiscard]] const scheduling::worker_speeds& speeds() const { return m_speeds; }
     [[nodiscard]] std::size_t ready_step_count() const { return m_ready.size(); }
     /// Number of runs whose placement is decided but not committed yet.
     [[nodiscard]] std::size_t planned_run_count() const { return m_planned.size(); }
@@ -177,6 +185,8 @@
         const step_spec& spec;
         const step_record& record;
         std::string pool;
+        /// Of a worker that is fast enough; nothing where all workers are equally fast.
+        std::optional<double> needed_speed;
     };
     /// Whether only workers with a currently valid ticket count as allowed.
     enum class ticket_rule { valid, any };
@@ -206,6 +216,14 @@
     void add_due_steps(base::wall_time wall);
     proto::jobs::Operation& add_operation() { return *m_batch.add_operations(); }
 
+    // Speed of workers.
+    void observe_run(base::time_point now, const worker_table::finished_run& run);
+    void refresh_speeds(base::time_point now);
+    [[nodiscard]] std::optional<double> needed_speed_of(const planned_step& step) const;
+    /// The racks in `free`, in the order in which to try them for the step.
+    [[nodiscard]] std::vector<std::string>
+    rack_order(const planned_step& step, const std::map<std::string, std::int64_t>& free) const;
+
     // Planning.
     void plan(base::time_point now);
     [[nodiscard]] base::duration planning_interval() const;
@@ -301,6 +319,10 @@
     const ledger& m_ledger;
     worker_table m_workers;
     advice_scheduler m_advice;
+    scheduling::worker_speeds m_speeds;
+    std::set<std::string> m_uneven_pools; ///< with a usable worker that is slow or fast
+    base::time_point m_next_speeds;       ///< when the speeds are derived again
+    base::wall_time m_wall;               ///< at the last call of `take`
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
     std::set<plan_rank> m_order; ///< of the ready steps
--- a/src/controlplane/core_control.cpp
+++ b/src/controlplane/core_control.cpp
@@ -42,13 +42,15 @@
 }
 
 // A follower in contact with the leader may acknowledge what the replicated state already contains.
+// That a worker is cold isn't replicated, so the leader has to hear of it.
 bool core_host_implementation::is_already_replicated(base::time_point now,
                                                      const worker_report& report) const
 {
     const auto& last_contact = m_log.contact().last_leader_contact;
     const auto found = records().workers().find(report.info.id);
-    return last_contact && now - *last_contact < max_leader_contact_age &&
-           found != records().workers().end() && found->second == report.info;
+    return report.cold_remaining == std::chrono::milliseconds{0} && last_contact &&
+           now - *last_contact < max_leader_contact_age && found != records().workers().end() &&
+           found->second == report.info;
 }
 
 void core_host_implementation::handle_report(base::time_point now, const worker_report& report,
@@ -76,6 +78,7 @@
     // An instance that is draining stays so.
     info.draining = info.draining || (is_known && found->second.draining);
     m_coordinator->on_clock(now, info.id, report.clock);
+    m_coordinator->on_worker_cold(now, info.id, info.started_at, report.cold_remaining);
     if (is_known && found->second == info) {
         done(done_answer());
         return;
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -1,5 +1,6 @@
 #include "core_metrics.h"
 
+#include <array>
 #include <chrono>
 #include <string>
 
@@ -106,12 +107,19 @@
     double usable = 0;
     double draining = 0;
     double quarantined = 0;
+    double cold = 0;
+    std::array<double, 3> by_speed{};
     jobs::size capacity;
     jobs::size used;
     for (const auto& [id, info] : records.workers()) {
         usable += leader != nullptr && leader->workers().is_usable(now, id) ? 1 : 0;
         quarantined += leader != nullptr && leader->workers().is_quarantined(now, id) ? 1 : 0;
         draining += info.draining ? 1 : 0;
+        if (leader != nullptr) {
+            cold += leader->speeds().is_cold(now, id) ? 1 : 0;
+            by_speed.at(
+                static_cast<std::size_t>(scheduling::class_of(leader->speeds().speed(id)))) += 1;
+        }
         capacity += info.capacity;
         used += records.used_on(id);
     }
@@ -120,6 +128,9 @@
     m_registry.gauge_named("lovagebeam_workers{state=\"usable\"}").set(usable);
     m_registry.gauge_named("lovagebeam_workers{state=\"draining\"}").set(draining);
     m_registry.gauge_named("lovagebeam_workers{state=\"quarantined\"}").set(quarantined);
+    m_registry.gauge_named("lovagebeam_workers{state=\"cold\"}").set(cold);
+    m_registry.gauge_named("lovagebeam_workers{state=\"slow\"}").set(by_speed[0]);
+    m_registry.gauge_named("lovagebeam_workers{state=\"fast\"}").set(by_speed[2]);
     m_registry.gauge_named("lovagebeam_capacity_millicores")
         .set(static_cast<double>(capacity.millicores));
     m_registry.gauge_named("lovagebeam_booked_millicores")
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -33,7 +33,7 @@
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
-      m_advice{settings.advice}, m_last_forget{now}
+      m_advice{settings.advice}, m_speeds{settings.speeds}, m_last_forget{now}
 {
     for (const auto id : records.open_jobs()) {
         const auto& job = *records.find(id);
@@ -46,6 +46,7 @@
         ready.isolates_until = now + m_settings.planner.isolation_wait;
     }
     for (const auto& [id, info] : records.workers()) {
+        m_speeds.on_instance(id, info.pool, info.started_at);
         update_candidate(now, id);
         for (const auto& key : records.suspects_on(id)) {
             isolate(now, id, key, *records.find(key));
@@ -165,8 +166,10 @@
     const auto found = m_ledger.workers().find(id);
     if (found == m_ledger.workers().end()) {
         m_workers.on_worker_removed(id);
+        m_speeds.forget(id);
     }
     else {
+        m_speeds.on_instance(id, found->second.pool, found->second.started_at);
         m_workers.on_worker(now, found->second);
     }
     update_candidate(now, id);
@@ -415,6 +418,9 @@
     for (const auto& start : output.confirmed_starts) {
         on_start_confirmed(now, start);
     }
+    for (const auto& run : output.finished_runs) {
+        observe_run(now, run);
+    }
     for (auto& end : output.ends) {
         auto& operation = *add_operation().mutable_end();
         *operation.mutable_task() = jobs::to_proto(end.run);
@@ -507,6 +513,7 @@
     if (m_needs_planning && now >= m_next_plan) {
         m_needs_planning = false;
         m_next_plan = now + planning_interval();
+        m_wall = wall;
         plan(now);
     }
     add_begun_jobs(now);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/coordinator.h"
 
 #include "labels.h"
+#include "worker_choice.h"
 
 #include <absl/strings/str_cat.h>
 
@@ -77,6 +78,7 @@
     if (m_ready.empty() || !m_catalog) {
         return;
     }
+    refresh_speeds(now);
     m_candidates.begin_pass();
     plan_answered_steps(now);
     std::uint32_t unplaceable = 0;
@@ -133,8 +135,13 @@
         remove_ready_step(key);
         return false;
     }
-    const planned_step step{*job, key, job->spec.steps[key.step],
-                            job->step(key.occurrence, key.step), pool_of(job->spec)};
+    planned_step step{*job,
+                      key,
+                      job->spec.steps[key.step],
+                      job->step(key.occurrence, key.step),
+                      pool_of(job->spec),
+                      std::nullopt};
+    step.needed_speed = needed_speed_of(step);
     if (now < ready.not_before) {
         m_needs_planning = true;
         return false;
@@ -280,8 +287,8 @@
         }
     }
     const auto needed = step.spec.size.millicores * static_cast<std::int64_t>(step.record.undone);
-    for (const auto& [rack, millicores] : free) {
-        if (millicores < needed) {
+    for (const auto& rack : rack_order(step, free)) {
+        if (free.at(rack) < needed) {
             continue;
         }
         auto chosen = assign_within(now, step, rule, &rack);
@@ -318,11 +325,17 @@
 {
     const auto booked = booked_size(step.spec);
     auto counts = counts_on_workers(step);
-    const auto eligible = eligible_workers(now, step, rule, rack);
+    const auto waiting = waiting_tasks(step);
+    auto eligible = eligible_workers(now, step, rule, rack);
+    if (step.spec.gang && step.needed_speed) {
+        const auto avoided = m_avoided.find(step.key);
+        eligible = select_for_gang(step.spec, eligible, waiting.size(),
+                                   avoided == m_avoided.end() ? nullptr : &avoided->second);
+    }
     std::vector<assignment> chosen;
     size total;
     bool is_whole = true;
-    for (const auto index : waiting_tasks(step)) {
+    for (const auto index : waiting) {
         if (!is_within_limit(step.job.spec.account, total + booked) ||
             !has_headroom(step, total + booked)) {
             is_whole = false;
@@ -385,14 +398,16 @@
 }
 
 // Best fit: prefers the worker with the fewest free processors on which the task fits, so that
-// large blocks remain free for large tasks.
+// large blocks remain free for large tasks. Where speeds differ, this applies among workers that
+// are equally preferred.
 coordinator::candidate_worker*
 coordinator::choose(const planned_step& step, const std::vector<candidate_worker*>& eligible,
                     const std::map<base::worker_id, std::uint32_t>& counts) const
 {
     const auto avoided = m_avoided.find(step.key);
     candidate_worker* best = nullptr;
-    std::tuple<bool, bool, std::int64_t> best_rank;
+    std::tuple<bool, bool, int, std::int64_t> best_rank;
+    const bool is_uneven = step.needed_speed && !step.spec.gang;
     for (auto* const one : eligible) {
         if (!accepts(step, *one, counts)) {
             continue;
@@ -401,7 +416,8 @@
         const bool is_avoided = avoided != m_avoided.end() && avoided->second.contains(info.id);
         const bool is_far =
             !step.spec.preferred_rack.empty() && info.rack != step.spec.preferred_rack;
-        const std::tuple rank{is_avoided, is_far, one->free.millicores};
+        const int preferred = is_uneven ? preference(one->speed, *step.needed_speed) : 0;
+        const std::tuple rank{is_avoided, is_far, preferred, one->free.millicores};
         if (best == nullptr || rank < best_rank) {
             best = one;
             best_rank = rank;
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -114,6 +114,7 @@
         if (task != nullptr && task->placed && task->attempt == row.run.attempt &&
             task->worker == worker.info.id) {
             needs_commit = true;
+            record_duration(worker, now, row);
             report(worker, row.run, row.how, row.checkpoint);
             update_health(worker, now, row.run, row.how);
         }
@@ -128,6 +129,16 @@
     m_out.cursors.push_back({worker.info.id, worker.info.started_at, worker.last_listed_end});
 }
 
+void worker_table::record_duration(const entry& worker, base::time_point now,
+                                   const finished_row& row)
+{
+    const auto start = worker.starts.find(row.run);
+    if (row.how == end_kind::done && start != worker.starts.end() && start->second.answered_at) {
+        m_out.finished_runs.push_back(
+            {row.run, worker.info.id, worker.info.started_at, now - *start->second.answered_at});
+    }
+}
+
 bool worker_table::is_wanted(const entry& worker, const run_key& run, const job_record* job) const
 {
     const auto* const task = m_ledger.find(run.task);
--- a/tests/adapter/worker_messages_test.cpp
+++ b/tests/adapter/worker_messages_test.cpp
@@ -23,6 +23,7 @@
     CPPUNIT_TEST(hold_answer_with_full_list_of_ends_may_lack_some);
     CPPUNIT_TEST(hold_answer_with_malformed_row_is_rejected);
     CPPUNIT_TEST(heartbeat_valid_is_read);
+    CPPUNIT_TEST(heartbeat_with_odd_cold_time_is_read);
     CPPUNIT_TEST(heartbeat_malformed_is_rejected);
     CPPUNIT_TEST(heartbeat_too_large_is_rejected);
     CPPUNIT_TEST(heartbeat_deeply_nested_is_rejected);
@@ -156,6 +157,21 @@
         CPPUNIT_ASSERT_EQUAL(std::uint64_t{4}, report->sequence);
     }
 
+    // Guards against a worker that gets no tasks because this one field is odd.
+    void heartbeat_with_odd_cold_time_is_read()
+    {
+        for (const auto& [text, expected] :
+             std::vector<std::pair<std::string, std::int64_t>>{{"1500", 1'500},
+                                                               {"-1", 0},
+                                                               {"\"long\"", 0},
+                                                               {"null", 0},
+                                                               {"9223372036854775807", 600'000}}) {
+            const auto report = decode_heartbeat("i-1", heartbeat_with("coldRemainingMs", text));
+            CPPUNIT_ASSERT_MESSAGE(text, report.ok());
+            CPPUNIT_ASSERT_EQUAL_MESSAGE(text, expected, report->cold_remaining.count());
+        }
+    }
+
     // Guards against registering a worker from a document that isn't a heartbeat.
     void heartbeat_malformed_is_rejected()
     {
--- a/tests/jobs/sim_cell.cpp
+++ b/tests/jobs/sim_cell.cpp
@@ -120,6 +120,25 @@
     commit(0, batch);
 }
 
+void sim_cell::chill_worker(const base::worker_id& id, base::duration time)
+{
+    workers.at(id).cold_until = now + time;
+    report_cold(id);
+}
+
+void sim_cell::report_cold(const base::worker_id& id)
+{
+    const auto found = workers.find(id);
+    if (found == workers.end() || now >= found->second.cold_until) {
+        return;
+    }
+    const auto remaining = std::chrono::duration_cast<milliseconds>(found->second.cold_until - now);
+    if (leader) {
+        leader->on_worker_cold(now, id, found->second.info.started_at, remaining);
+    }
+    schedule(now + 1500ms, [this, id] { report_cold(id); });
+}
+
 void sim_cell::drain_worker(const base::worker_id& id)
 {
     auto& info = workers.at(id).info;
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -117,6 +117,8 @@
     void drain_worker(const base::worker_id& id);
     /// Changes the processors of a worker. Its next heartbeat is committed up to 1.5 s later.
     void change_capacity(const base::worker_id& id, std::int64_t millicores);
+    /// The worker is slow for this time, which its heartbeats tell the leader each 1.5 s.
+    void chill_worker(const base::worker_id& id, base::duration time);
     void submit(const job_spec& submitted);
     void cancel(job_number id);
     /// Replaces the leader. Batches that the former one has proposed may or may not be committed.
@@ -149,6 +151,7 @@
 
     void schedule(base::time_point when, action what);
     void report_worker(const worker_info& info);
+    void report_cold(const base::worker_id& id);
     void start_next_instance(const base::worker_id& id, bool same_id, base::duration report_delay);
     void step();
     void start_leader();
