--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -10,6 +10,7 @@
 #include "lovagebeam/scheduling/admission_forecast.h"
 #include "lovagebeam/scheduling/capacity_holds.h"
 #include "lovagebeam/scheduling/duration_estimates.h"
+#include "lovagebeam/scheduling/worker_speeds.h"
 
 #include "jobs.pb.h"
 
@@ -66,6 +67,8 @@
     /// this time has passed or advice on it has come, unless it is the restart of a long-running
     /// task.
     milliseconds look_interval{40};
+    /// How often the speeds of workers are derived from their runs.
+    milliseconds speed_interval{500};
     /// How long ended jobs are retained.
     milliseconds retention{150'000};
     milliseconds forget_interval{5'000};
@@ -94,6 +97,7 @@
     advice_settings advice;
     planner_settings planner;
     preemption_policy preemption;
+    scheduling::speed_settings speeds;
 };
 
 /// A run that was ordered to stop so that urgent work finds room.
@@ -151,6 +155,9 @@
     void on_batch_committed(std::uint64_t id);
 
     void on_clock(base::time_point now, const base::worker_id& worker, worker_time clock);
+    /// A worker reported how much longer it is slow after its start; 0 if it isn't.
+    void on_worker_cold(base::time_point now, const base::worker_id& worker,
+                        base::wall_time started_at, milliseconds remaining);
     void on_start_answer(base::time_point now, const run_key& run, const base::worker_id& worker,
                          start_outcome outcome);
     void on_stop_done(base::time_point now, const run_key& run, const base::worker_id& worker);
@@ -169,6 +176,7 @@
     void on_planning_time(base::time_point now, base::duration took);
 
     [[nodiscard]] const worker_table& workers() const { return m_workers; }
+    [[nodiscard]] const scheduling::worker_speeds& speeds() const { return m_speeds; }
     [[nodiscard]] std::size_t ready_step_count() const { return m_ready.size(); }
     [[nodiscard]] const scheduling::duration_estimates& estimates() const { return m_estimates; }
     [[nodiscard]] const scheduling::admission_forecast& forecast() const { return m_forecast; }
@@ -230,6 +238,8 @@
         const step_record& record;
         std::string pool;
         std::int64_t budget; ///< see `planning_order::next_step`; one task is placed at least
+        /// Of a worker that is fast enough; nothing where all workers are equally fast.
+        std::optional<double> needed_speed;
     };
     struct evacuation_progress {
         /// Of the domains' records, as last seen: a repeated order changes nothing.
@@ -288,6 +298,13 @@
     void stop_counting(const job_record& job);
     void update_forecast(base::time_point now, base::wall_time wall);
     [[nodiscard]] scheduling::admission_forecast::supply supply_of(const std::string& pool) const;
+    // Speed of workers.
+    void observe_run(base::time_point now, const worker_table::finished_run& run);
+    void refresh_speeds(base::time_point now);
+    [[nodiscard]] std::optional<double> needed_speed_of(const planned_step& step) const;
+    /// The racks in `free`, in the order in which to try them for the step.
+    [[nodiscard]] std::vector<std::string>
+    rack_order(const planned_step& step, const std::map<std::string, std::int64_t>& free) const;
 
     // Planning.
     void plan(base::time_point now);
@@ -458,6 +475,10 @@
     /// count.
     std::deque<std::pair<base::time_point, job_number>> m_admitted;
     base::time_point m_next_forecast;
+    scheduling::worker_speeds m_speeds;
+    std::set<std::string> m_uneven_pools; ///< with a usable worker that is slow or fast
+    base::time_point m_next_speeds;       ///< when the speeds are derived again
+    base::wall_time m_wall;               ///< at the last call of `take`
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
     step_order m_order;               ///< of the ready steps
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -35,10 +35,10 @@
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
-      m_advice{settings.advice}, m_forecast{{.urgent_headroom = settings.planner.urgent_headroom,
-                                             .worthless_objectives =
-                                                 settings.planner.expiry_objectives},
-                                            now},
+      m_advice{settings.advice}, m_speeds{settings.speeds},
+      m_forecast{{.urgent_headroom = settings.planner.urgent_headroom,
+                  .worthless_objectives = settings.planner.expiry_objectives},
+                 now},
       m_holds{settings.planner.max_held_fraction},
       m_preemption{std::make_unique<preemption>(settings.preemption, now)}, m_last_forget{now}
 {
@@ -57,6 +57,7 @@
         ready.isolates_until = now + m_settings.planner.isolation_wait;
     }
     for (const auto& [id, info] : records.workers()) {
+        m_speeds.on_instance(id, info.pool, info.started_at);
         update_candidate(now, id);
         for (const auto& key : records.suspects_on(id)) {
             isolate(now, id, key, *records.find(key));
@@ -181,8 +182,10 @@
     const auto found = m_ledger.workers().find(id);
     if (found == m_ledger.workers().end()) {
         m_workers.on_worker_removed(id);
+        m_speeds.forget(id);
     }
     else {
+        m_speeds.on_instance(id, found->second.pool, found->second.started_at);
         m_workers.on_worker(now, found->second);
     }
     update_candidate(now, id);
@@ -457,6 +460,9 @@
     for (const auto& start : output.confirmed_starts) {
         on_start_confirmed(now, start);
     }
+    for (const auto& run : output.finished_runs) {
+        observe_run(now, run);
+    }
     for (auto& end : output.ends) {
         observe_duration(end);
         auto& operation = *add_operation().mutable_end();
@@ -553,6 +559,7 @@
     if (m_needs_planning && now >= m_next_plan) {
         m_needs_planning = false;
         m_next_plan = now + planning_interval();
+        m_wall = wall;
         plan(now);
         collect_worker_output(now); // the stops that planning has ordered
     }
--- a/src/jobs/gang_holds.cpp
+++ b/src/jobs/gang_holds.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 #include <utility>
 #include <vector>
 
@@ -36,7 +37,8 @@
                             job.spec.steps[key.step],
                             record,
                             pool_of(job.spec),
-                            std::numeric_limits<std::int64_t>::max()};
+                            std::numeric_limits<std::int64_t>::max(),
+                            std::nullopt};
     if (record.placed > 0 || !is_within_limit(job.spec.account, total_size(step))) {
         return;
     }
