--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -35,11 +35,11 @@
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
                          base::time_point now, base::wall_time wall)
     : m_settings{settings}, m_ledger{records}, m_workers{settings.workers, records, token, now},
-      m_advice{settings.advice}, m_speeds{settings.speeds},
-      m_forecast{{.urgent_headroom = settings.planner.urgent_headroom,
-                  .worthless_objectives = settings.planner.expiry_objectives},
-                 now},
-      m_holds{settings.planner.max_held_fraction},
+      m_advice{settings.advice}, m_forecast{{.urgent_headroom = settings.planner.urgent_headroom,
+                                             .worthless_objectives =
+                                                 settings.planner.expiry_objectives},
+                                            now},
+      m_speeds{settings.speeds}, m_holds{settings.planner.max_held_fraction},
       m_preemption{std::make_unique<preemption>(settings.preemption, now)}, m_last_forget{now}
 {
     for (const auto& [domain, record] : records.evacuations()) {
