Remove an unused declaration from worker_choice

Cause: scripts/lint rejects it (misc-unused-using-decls). Change: the declaration and an unused include go.

--- a/src/jobs/worker_choice.cpp
+++ b/src/jobs/worker_choice.cpp
@@ -5,14 +5,12 @@
 
 #include <algorithm>
 #include <array>
+#include <iterator>
 #include <limits>
-#include <numeric>
 
 namespace lovagebeam::jobs {
 namespace {
 
-using scheduling::speed_class;
-
 constexpr std::size_t class_count = 3;
 /// A task takes up to 1.9 times as long as its caller estimates.
 constexpr double estimate_margin = 2;
