--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -346,6 +346,9 @@
     /// Plans the steps about which the advice service has answered since the last pass.
     void plan_answered_steps(base::time_point now);
     obstacle plan_step(base::time_point now, const step_key& key, std::int64_t budget);
+    /// Requests advice and preemption for the tasks of a step that found no room.
+    obstacle seek_room(base::time_point now, const planned_step& step, ready_step& ready,
+                       bool has_placed_none);
     /// Whether the limit of the account keeps each task of the step, or its whole gang, from being
     /// placed. Such a step gets advice for when the account may go on.
     bool is_stopped_by_limit(const planned_step& step);
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -156,15 +156,22 @@
     else if (!is_call_open && exceeds_budget(step, booked_size(step.spec))) {
         return obstacle::share;
     }
+    return seek_room(now, step, ready, chosen.empty());
+}
+
+obstacle coordinator::seek_room(base::time_point now, const planned_step& step, ready_step& ready,
+                                bool has_placed_none)
+{
     // A step that waits for advice doesn't mean that there is no capacity for others.
     const bool waits_for_advice =
-        is_call_open ? m_reserved.contains(key)
-                     : advice_for(job->spec) != nullptr &&
-                           request_missing_advice(now, step, ready) == advice_wait::open;
+        m_advice.is_call_open(step.key)
+            ? m_reserved.contains(step.key)
+            : advice_for(step.job.spec) != nullptr &&
+                  request_missing_advice(now, step, ready) == advice_wait::open;
     const bool has_room_coming =
         preempt_for(now, step, waits_for_advice ? advice_wait::open : advice_wait::none);
-    return chosen.empty() && !waits_for_advice && !has_room_coming ? obstacle::no_capacity
-                                                                   : obstacle::none;
+    return has_placed_none && !waits_for_advice && !has_room_coming ? obstacle::no_capacity
+                                                                    : obstacle::none;
 }
 
 bool coordinator::is_stopped_by_limit(const planned_step& step)
--- a/tests/jobs/sim_cell.h
+++ b/tests/jobs/sim_cell.h
@@ -184,6 +184,7 @@
     /// delay, whatever process of the worker runs then.
     void deliver_late(const worker_address& to, const std::function<void(sim_worker&)>& carry_out);
     void extend_lease(sim_worker& worker, worker_time deadline) const;
+    sim_worker::run make_run(const sim_worker& worker, const start_order& order);
     start_outcome carry_out(sim_worker& worker, const start_order& order);
     hold_outcome carry_out(sim_worker& worker, const hold_order& order, hold_answer& out);
     struct waiting_hold {
--- a/tests/jobs/sim_workers.cpp
+++ b/tests/jobs/sim_workers.cpp
@@ -91,6 +91,20 @@
     }
     check_start(worker, order.run);
     ++starts;
+    worker.runs.emplace(order.run, make_run(worker, order));
+    if (const auto crashing = crashing_tasks.find(order.run.task);
+        crashing != crashing_tasks.end()) {
+        schedule(now + crashing->second,
+                 [this, id = worker.info.id, crashed = order.run] { crash_worker(id, crashed); });
+    }
+    if (records.find(order.run.task.job)->spec.steps[order.run.task.step].gang) {
+        check_gang(order.run);
+    }
+    return start_outcome::started;
+}
+
+sim_worker::run sim_cell::make_run(const sim_worker& worker, const start_order& order)
+{
     const auto& step = records.find(order.run.task.job)->spec.steps[order.run.task.step];
     sim_worker::run run;
     run.began = now;
@@ -116,16 +130,7 @@
     else if (random.chance(settings.fail_run)) {
         run.how = end_kind::failed;
     }
-    worker.runs.emplace(order.run, run);
-    if (const auto crashing = crashing_tasks.find(order.run.task);
-        crashing != crashing_tasks.end()) {
-        schedule(now + crashing->second,
-                 [this, id = worker.info.id, crashed = order.run] { crash_worker(id, crashed); });
-    }
-    if (step.gang) {
-        check_gang(order.run);
-    }
-    return start_outcome::started;
+    return run;
 }
 
 base::duration sim_cell::work_time(const sim_worker& worker, const task_key& task,
