Plan batch work seldom while the leader is overloaded

Cause: in a burst of lookups on a full fleet, the starts of batch work took the processor time of the leader; its loop ran 52 to 92 times a second, and lookups waited for seconds.

Change: while the mean duration of the loop's iterations is over 12 ms, work of priorities other than 0 is planned every 250 ms only. Metric lovagebeam_is_overloaded.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -10,6 +10,7 @@
 #include "lovagebeam/scheduling/admission_forecast.h"
 #include "lovagebeam/scheduling/capacity_holds.h"
 #include "lovagebeam/scheduling/duration_estimates.h"
+#include "lovagebeam/scheduling/overload_gate.h"
 #include "lovagebeam/scheduling/worker_speeds.h"
 
 #include "jobs.pb.h"
@@ -98,6 +99,7 @@
     planner_settings planner;
     preemption_policy preemption;
     scheduling::speed_settings speeds;
+    scheduling::overload_settings overload;
 };
 
 /// A run that was ordered to stop so that urgent work finds room.
@@ -177,6 +179,8 @@
 
     [[nodiscard]] const worker_table& workers() const { return m_workers; }
     [[nodiscard]] const scheduling::worker_speeds& speeds() const { return m_speeds; }
+    /// Whether the leader is short of processor time, so that batch work is planned seldom.
+    [[nodiscard]] bool is_overloaded() const { return m_overload.is_overloaded(); }
     [[nodiscard]] std::size_t ready_step_count() const { return m_ready.size(); }
     [[nodiscard]] const scheduling::duration_estimates& estimates() const { return m_estimates; }
     [[nodiscard]] const scheduling::admission_forecast& forecast() const { return m_forecast; }
@@ -344,7 +348,12 @@
     /// The size of all tasks of the step that aren't done.
     static jobs::size total_size(const planned_step& step);
     /// Plans the steps about which the advice service has answered since the last pass.
-    void plan_answered_steps(base::time_point now);
+    void plan_answered_steps(base::time_point now, bool has_batch);
+    /// Whether a step is planned by a leader that is short of processor time.
+    static bool is_urgent(const ready_step& ready)
+    {
+        return ready.is_restart || (ready.priority == 0 && !ready.is_expired);
+    }
     obstacle plan_step(base::time_point now, const step_key& key, std::int64_t budget);
     /// Requests advice and preemption for the tasks of a step that found no room.
     obstacle seek_room(base::time_point now, const planned_step& step, ready_step& ready,
@@ -499,6 +508,7 @@
     std::map<base::worker_id, isolation> m_isolated;
     evacuation_progress m_evacuation;
     candidate_list m_candidates;
+    scheduling::overload_gate m_overload;
     scheduling::capacity_holds m_holds;
     std::uint32_t m_lowest_priority = 0; ///< of the ready steps that haven't expired
     std::unique_ptr<preemption> m_preemption;
--- a/src/controlplane/core_metrics.cpp
+++ b/src/controlplane/core_metrics.cpp
@@ -189,6 +189,8 @@
     }
     m_registry.gauge_named("lovagebeam_waiting_core_seconds")
         .set(leader == nullptr ? 0 : leader->forecast().waiting_core_seconds());
+    m_registry.gauge_named("lovagebeam_is_overloaded")
+        .set(leader != nullptr && leader->is_overloaded() ? 1 : 0);
     update_accounts(records, leader);
 }
 
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -39,7 +39,8 @@
                                              .worthless_objectives =
                                                  settings.planner.expiry_objectives},
                                             now},
-      m_speeds{settings.speeds}, m_holds{settings.planner.max_held_fraction},
+      m_speeds{settings.speeds},
+      m_overload{settings.overload}, m_holds{settings.planner.max_held_fraction},
       m_preemption{std::make_unique<preemption>(settings.preemption, now)}, m_last_forget{now}
 {
     for (const auto& [domain, record] : records.evacuations()) {
@@ -555,6 +556,7 @@
 coordinator_output coordinator::take(base::time_point now, base::wall_time wall)
 {
     withdraw_starts();
+    m_overload.on_iteration(now);
     collect_worker_output(now);
     if (m_needs_planning && now >= m_next_plan) {
         m_needs_planning = false;
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -50,9 +50,14 @@
     refresh_speeds(now);
     m_candidates.begin_pass();
     begin_holds();
-    plan_answered_steps(now);
+    const bool has_batch = m_overload.admits_batch(now);
+    plan_answered_steps(now, has_batch);
     planning_order pass{m_order, make_pass_input(now)};
     while (const auto step = pass.next()) {
+        if (!has_batch && !is_urgent(m_ready.at(step->key))) {
+            m_needs_planning = true;
+            break;
+        }
         if (now < m_ready.at(step->key).next_look && !step->is_first_of_account) {
             m_needs_planning = true;
             hold_for_gang(now, step->key);
@@ -73,13 +78,20 @@
 
 // Capacity is reserved for these until their tickets expire, so they don't wait behind steps that
 // may not fit.
-void coordinator::plan_answered_steps(base::time_point now)
+void coordinator::plan_answered_steps(base::time_point now, bool has_batch)
 {
     std::set<step_order::step_rank> answered;
     for (const auto& key : std::exchange(m_answered, {})) {
-        if (const auto found = m_ready.find(key); found != m_ready.end()) {
+        const auto found = m_ready.find(key);
+        if (found == m_ready.end()) {
+            continue;
+        }
+        if (has_batch || is_urgent(found->second)) {
             answered.insert(rank_of(key, found->second));
         }
+        else {
+            m_answered.insert(key);
+        }
     }
     for (const auto& rank : answered) {
         const auto key = std::get<step_key>(rank);
