Never refuse by forecast a job that can be in time

Cause: after a disruption, while a tenth of the waiting work of a priority was late, the forecast refused every job with an expected wait over 0.5 s, and for 30 s more those that it didn't expect to be in time. It also counted a burst of a higher priority twice, as waiting work and as arrivals of the last 10 s.

Change: while work is late and for 10 s after that, only jobs are refused that aren't expected to be in time; arrivals are averaged over 30 s.

--- a/include/lovagebeam/scheduling/admission_forecast.h
+++ b/include/lovagebeam/scheduling/admission_forecast.h
@@ -33,15 +33,16 @@
     /// jobs that fit nowhere are not a queue that is behind.
     double late_fraction = 0.1;
     /// For this long after work of a priority was late, jobs are admitted only if they can be in
-    /// time. Several times the objective of short jobs, so that an overload that lasts doesn't make
-    /// each further group of jobs late.
-    std::chrono::seconds late_memory{30};
+    /// time, so that an overload that lasts doesn't make each further group of jobs late. A longer
+    /// time would refuse jobs of a fleet that has recovered from a disruption.
+    std::chrono::seconds late_memory{10};
     /// If this fraction of a pool has been free for `unused_time` while work waits, that work can't
     /// use it: an account is at its limit, or a label is missing.
     double unused_fraction = 0.1;
     std::chrono::milliseconds unused_time{500};
-    /// Time over which the arrival of work is averaged.
-    std::chrono::seconds arrival_window{10};
+    /// Time over which the arrival of work is averaged. A burst is part of the waiting work too, so
+    /// a short window would count it twice.
+    std::chrono::seconds arrival_window{30};
     /// Least part of a pool that a priority is expected to get.
     double min_share = 0.05;
     std::chrono::milliseconds min_retry{1'000};
--- a/src/scheduling/admission_forecast.cpp
+++ b/src/scheduling/admission_forecast.cpp
@@ -260,20 +260,17 @@
 milliseconds admission_forecast::longest_wait(level& of, base::time_point now, base::wall_time wall,
                                               const new_job& candidate) const
 {
-    if (is_behind(of, now, wall)) {
-        // Planning serves jobs that can be in time before late ones, so that each further job would
-        // delay work that is accepted and late already.
-        return m_settings.min_wait;
-    }
-    const auto in_time = candidate.objective - candidate.chain;
-    if (of.late_at && now - *of.late_at < m_settings.late_memory) {
-        return std::max(in_time, m_settings.min_wait);
+    const auto in_time = std::max(candidate.objective - candidate.chain, m_settings.min_wait);
+    const bool is_late_lately =
+        is_behind(of, now, wall) || (of.late_at && now - *of.late_at < m_settings.late_memory);
+    if (is_late_lately) {
+        return in_time;
     }
     // A job that isn't in time is passed by those that are accepted during its objective and can be
     // in time.
     const auto worthless = std::chrono::duration_cast<milliseconds>(
         candidate.objective * (m_settings.worthless_objectives - 1));
-    return std::max({worthless - candidate.chain, in_time, m_settings.min_wait});
+    return std::max(worthless - candidate.chain, in_time);
 }
 
 admission_forecast::verdict admission_forecast::judge(base::time_point now, base::wall_time wall,
