Call the initial voters so in messages and logs

Cause: the answer to a hello and a log event called them founders, a word that the code uses for nothing else.

--- a/src/controlplane/core_group.cpp
+++ b/src/controlplane/core_group.cpp
@@ -291,7 +291,7 @@
     ++m_hellos_answered;
     m_durable_by_host[queried] = answer.durable();
     if (m_initial_voters.empty()) {
-        m_initial_voters = {answer.founders().begin(), answer.founders().end()};
+        m_initial_voters = {answer.initial_voters().begin(), answer.initial_voters().end()};
     }
     m_directory.on_heard(now, queried);
     on_peer_info(now, answer);
@@ -324,7 +324,7 @@
     pb::CoreHelloAnswer answer;
     answer.set_durable(!m_settings.data_folder.empty());
     for (const auto& voter : m_initial_voters) {
-        answer.add_founders(voter);
+        answer.add_initial_voters(voter);
     }
     answer.set_is_leader(m_log.is_established_leader(now));
     answer.set_leader(leader_of_group(now));
--- a/src/controlplane/initial_voters.cpp
+++ b/src/controlplane/initial_voters.cpp
@@ -105,8 +105,9 @@
                 m_client, seed, core_port(m_settings), hello_path, hello, query_timeout,
                 [this, seed](std::optional<pb::CoreHelloAnswer> answer, call_failure) {
                     if (answer) {
-                        record_host(seed, answer->durable(),
-                                    {answer->founders().begin(), answer->founders().end()});
+                        record_host(
+                            seed, answer->durable(),
+                            {answer->initial_voters().begin(), answer->initial_voters().end()});
                     }
                 });
         }
@@ -135,7 +136,7 @@
         {
             const std::lock_guard lock{m_mutex};
             for (const auto& voter : m_initial_voters) {
-                answer.add_founders(voter);
+                answer.add_initial_voters(voter);
             }
         }
         callers::http_response response;
@@ -185,13 +186,13 @@
 discover_initial_voters(const settings::process_settings& settings)
 {
     auto found = initial_voter_discovery{settings}.run();
-    log_event line{found.ok() ? severity::info : severity::warning, "founders_known"};
+    log_event line{found.ok() ? severity::info : severity::warning, "initial_voters_known"};
     if (found.ok()) {
         std::string list;
         for (const auto& voter : *found) {
             list += (list.empty() ? "" : ",") + voter;
         }
-        line.with("founders", list);
+        line.with("initial_voters", list);
     }
     else {
         line.with("detail", std::string{found.status().message()});
