Split long files; observe the durations of runs once

Speeds and estimates each measured the duration of a run from its confirmed start to its listed end; only estimates left out runs that resumed from a checkpoint or were away from their data, so such runs made a worker look slow.

Change: ready steps, the lifecycle of runs, the choice of workers, orders, settings and output have files of their own; nothing else changed in them. worker_table reports the duration once, with the end.

--- a/include/lovagebeam/jobs/worker_table.h
+++ b/include/lovagebeam/jobs/worker_table.h
@@ -112,20 +112,12 @@
         std::optional<base::time_point> checkpointed;
         std::uint32_t percent = 0; ///< when it was last listed
     };
-    /// A run that ended well. `took` is the time from its confirmed start to its listed end.
-    struct finished_run {
-        run_key run;
-        base::worker_id worker;
-        base::wall_time started_at; ///< of the worker
-        base::duration took;
-    };
     struct output {
         std::vector<hold_order> holds;
         std::vector<stop_order> stops;
         /// Starts of jobs of which the ledger has none yet; a run may be listed again.
         std::vector<confirmed_start> confirmed_starts;
         std::vector<end_report> ends;
-        std::vector<finished_run> finished_runs;
         std::vector<cursor_move> cursors;
         /// Workers for which the result of `is_usable` changed.
         std::vector<base::worker_id> usability_changes;
@@ -313,7 +305,6 @@
     /// Whether the run, which is no longer wanted, ends by itself because another member of its
     /// gang is done.
     [[nodiscard]] bool ends_soon(entry& worker, base::time_point now, const run_key& run) const;
-    void record_duration(const entry& worker, base::time_point now, const finished_row& row);
     void update_health(entry& worker, base::time_point now, const run_key& run, end_kind how);
     void record_failure(entry& worker, base::time_point now, job_number job);
 
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -1,7 +1,6 @@
 #include "lovagebeam/jobs/coordinator.h"
 
 #include "format_run.h"
-#include "objectives.h"
 #include "preemption.h"
 
 #include <absl/strings/str_cat.h>
@@ -19,17 +18,6 @@
     return static_cast<pb::EndKind>(static_cast<int>(kind) + 1);
 }
 
-end_kind from_proto(pb::EndKind kind)
-{
-    return static_cast<end_kind>(static_cast<int>(kind) - 1);
-}
-
-/// Whether a run with this end never began; the next attempt is then delayed.
-bool never_began(pb::EndKind how)
-{
-    return how == pb::END_KIND_NOT_STARTED || how == pb::END_KIND_ALONE;
-}
-
 } // namespace
 
 coordinator::coordinator(coordinator_settings settings, const ledger& records, fencing_token token,
@@ -204,253 +192,6 @@
     m_batch_cursors.erase(found);
 }
 
-void coordinator::add_ready_steps(const job_record& job)
-{
-    if (is_final(job.state)) {
-        return;
-    }
-    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            const auto& record = job.step(run, step);
-            if (record.undone == 0 || !job.is_ready(run, step)) {
-                continue;
-            }
-            const step_key key{job.spec.id, run, step};
-            if (job.spec.occurrences > 0 && record.placed == 0 && !m_ready.contains(key)) {
-                m_scheduled_steps.emplace(job.spec.due(run), key);
-            }
-            else {
-                add_ready_step(job, key);
-            }
-        }
-    }
-}
-
-void coordinator::add_ready_step(const job_record& job, const step_key& key)
-{
-    count_work(job, key);
-    const auto from = job.spec.occurrences > 0 ? job.spec.due(key.occurrence) : job.accepted;
-    ready_step ready;
-    ready.ready_since = m_preemption->now;
-    ready.is_gang = job.spec.steps[key.step].gang;
-    ready.priority = job.spec.priority;
-    ready.account = job.spec.account;
-    ready.task_use = counted_use(booked_size(job.spec.steps[key.step]));
-    const auto chains = remaining_chains(job.spec, advice_time(advice_for(job.spec)), m_estimates);
-    const auto longest = longest_chain(chains);
-    ready.due_by = from + objective_of(job.spec, longest, 1);
-    ready.late_at = ready.due_by - chains[key.step];
-    ready.expires_at = from + objective_of(job.spec, longest, m_settings.planner.expiry_objectives);
-    const auto& record = job.step(key.occurrence, key.step);
-    ready.waiting_use = ready.task_use * (std::int64_t{record.undone} - record.placed);
-    if (m_ready.emplace(key, ready).second) {
-        m_order.insert(ready.account, rank_of(key, ready));
-        m_demotions.emplace(ready.late_at, key);
-    }
-    promote_restart(key);
-}
-
-step_order::step_rank coordinator::rank_of(const step_key& key, const ready_step& ready)
-{
-    return {ready.is_expired, ready.priority, !ready.is_restart, ready.is_late, ready.due_by, key};
-}
-
-void coordinator::remove_ready_step(const step_key& key)
-{
-    const auto found = m_ready.find(key);
-    if (found != m_ready.end()) {
-        m_order.erase(found->second.account, rank_of(key, found->second));
-        m_demotions.erase(
-            {found->second.is_late ? found->second.expires_at : found->second.late_at, key});
-        release_preempted_room(key);
-        m_preemption->needs.erase(key);
-        m_ready.erase(found);
-    }
-}
-
-void coordinator::demote_late_steps(base::wall_time wall)
-{
-    while (!m_demotions.empty() && m_demotions.begin()->first <= wall) {
-        const auto key = m_demotions.begin()->second;
-        m_demotions.erase(m_demotions.begin());
-        auto& ready = m_ready.at(key);
-        m_order.erase(ready.account, rank_of(key, ready));
-        if (ready.is_late) {
-            ready.is_expired = true;
-            m_forecast.expire(key.job.value(), key.occurrence);
-        }
-        else {
-            ready.is_late = true;
-            m_demotions.emplace(ready.expires_at, key);
-        }
-        m_order.insert(ready.account, rank_of(key, ready));
-        m_advice.change_rank(key, call_rank_of(ready));
-    }
-}
-
-void coordinator::add_due_steps(base::wall_time wall)
-{
-    while (!m_scheduled_steps.empty() &&
-           m_scheduled_steps.begin()->first + m_settings.planner.due_margin <= wall) {
-        const auto key = m_scheduled_steps.begin()->second;
-        m_scheduled_steps.erase(m_scheduled_steps.begin());
-        const auto* const job = m_ledger.find(key.job);
-        if (job != nullptr && !is_final(job->state)) {
-            add_ready_step(*job, key);
-            m_needs_planning = true;
-        }
-    }
-}
-
-void coordinator::remove_job(const job_record& job)
-{
-    stop_counting(job);
-    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            const step_key key{job.spec.id, run, step};
-            remove_ready_step(key);
-            m_avoided.erase(key);
-            release_reservation(key);
-            m_advice.forget(key);
-        }
-    }
-    std::erase_if(m_evacuation.withdrawn,
-                  [&](const run_key& run) { return run.task.job == job.spec.id; });
-    std::erase_if(m_scheduled_steps,
-                  [&](const auto& entry) { return entry.second.job == job.spec.id; });
-    m_preemption->planner.forget(job.spec.id.value());
-    m_order.forget(job.spec.id);
-}
-
-void coordinator::stop_job(base::time_point now, const job_record& job)
-{
-    for (std::uint32_t run = 0; run < job.spec.runs(); ++run) {
-        for (std::uint32_t step = 0; step < job.spec.steps.size(); ++step) {
-            stop_gang(now, job, {job.spec.id, run, step});
-        }
-    }
-}
-
-void coordinator::stop_gang(base::time_point now, const job_record& job, const step_key& key)
-{
-    const auto& tasks = job.step(key.occurrence, key.step).tasks;
-    for (std::uint32_t index = 0; index < tasks.size(); ++index) {
-        if (tasks[index].placed && !tasks[index].done) {
-            m_workers.stop(now, {{key.job, key.occurrence, key.step, index}, tasks[index].attempt});
-        }
-    }
-}
-
-void coordinator::on_placed(base::time_point now, const pb::PlaceTasks& operation)
-{
-    const bool is_evacuated = m_ledger.names_evacuated_worker(operation);
-    for (const auto& placement : operation.placements()) {
-        const auto run = jobs::from_proto(placement.task());
-        remove_planned_run(run.task);
-        const auto* const task = m_ledger.find(run.task);
-        const auto* const job = m_ledger.find(run.task.job);
-        update_candidate(now, base::worker_id{placement.worker()});
-        if (job == nullptr || is_final(job->state)) {
-            continue;
-        }
-        count_work(*job, step_of(run.task));
-        if (task->placed && task->attempt == run.attempt) {
-            send_start(now, run);
-        }
-        else {
-            if (is_evacuated) {
-                report_withheld_start(run, base::worker_id{placement.worker()}, "not_placed");
-            }
-            end_isolation(now, base::worker_id{placement.worker()}, run.task);
-            add_ready_step(*job, step_of(run.task));
-        }
-    }
-}
-
-void coordinator::send_start(base::time_point now, const run_key& run)
-{
-    const auto& job = *m_ledger.find(run.task.job);
-    const auto& task = *m_ledger.find(run.task);
-    auto order = m_workers.make_start(now, run);
-    if (!order) {
-        return;
-    }
-    if (advice_for(job.spec) != nullptr) {
-        const auto* const known = m_advice.find(step_of(run.task));
-        const auto ticket =
-            known == nullptr ? decltype(known->allowed.end()){} : known->allowed.find(task.worker);
-        if (known != nullptr && ticket != known->allowed.end()) {
-            order->ticket = ticket->second.text;
-        }
-    }
-    order->payload = job.spec.payload;
-    order->checkpoint = task.checkpoint;
-    m_out.starts.push_back(*std::move(order));
-}
-
-void coordinator::on_ended(base::time_point now, const pb::EndTask& operation)
-{
-    const auto run = jobs::from_proto(operation.task());
-    const base::worker_id worker{operation.worker()};
-    const bool was_preempted = end_preemption(run, worker, operation.how());
-    m_workers.on_end_applied(run, worker);
-    end_isolation(now, worker, run.task);
-    update_candidate(now, worker);
-    const auto* const job = m_ledger.find(run.task.job);
-    if (job == nullptr) {
-        return;
-    }
-    auto detail = absl::StrCat("run=", format_run(run), " worker=", worker.str(),
-                               " how=", std::string{name_of(from_proto(operation.how()))});
-    if (operation.how() == pb::END_KIND_CRASHED ||
-        operation.crash_verdict() != pb::CRASH_VERDICT_UNRELATED) {
-        const auto verdict = static_cast<crash_verdict>(operation.crash_verdict());
-        absl::StrAppend(&detail, " ran_ms=", operation.ran_ms(),
-                        " crashes=", m_ledger.find(run.task)->crashes.count,
-                        " verdict=", std::string{name_of(verdict)});
-    }
-    absl::StrAppend(&detail, " state=", std::string{name_of(job->state)});
-    m_out.log_entries.push_back({"run_ended", run.task.job, std::move(detail)});
-    if (is_final(job->state)) {
-        remove_job(*job);
-        stop_job(now, *job);
-        return;
-    }
-    count_work(*job, step_of(run.task));
-    const auto& step = job->step(run.task.occurrence, run.task.step);
-    if (step.undone == 0) {
-        m_advice.forget(step_of(run.task));
-        add_ready_steps(*job);
-    }
-    else if (!step.tasks[run.task.index].done) {
-        on_run_incomplete(now, *job, run, worker, operation.how(), was_preempted);
-    }
-}
-
-void coordinator::on_run_incomplete(base::time_point now, const job_record& job, const run_key& run,
-                                    const base::worker_id& worker, pb::EndKind how,
-                                    bool was_preempted)
-{
-    const auto key = step_of(run.task);
-    if (how == pb::END_KIND_FAILED || (how == pb::END_KIND_STOPPED && !was_preempted)) {
-        m_avoided[key].insert(worker);
-    }
-    if (job.spec.steps[key.step].gang) {
-        stop_gang(now, job, key);
-    }
-    add_ready_step(job, key);
-    auto& ready = m_ready.at(key);
-    if (how == pb::END_KIND_CRASHED) {
-        ready.isolates_until = now + m_settings.planner.isolation_wait;
-    }
-    const bool is_withdrawn = m_evacuation.withdrawn.erase(run) > 0;
-    if (never_began(how) && !is_withdrawn && ready.refused_starts++ > 0) {
-        const auto doublings = std::min(ready.refused_starts - 2, 6U);
-        ready.not_before = now + std::min(m_settings.planner.retry_max,
-                                          m_settings.planner.retry_first * (1 << doublings));
-    }
-}
-
 void coordinator::collect_worker_output(base::time_point now)
 {
     auto output = m_workers.take();
@@ -461,11 +202,9 @@
     for (const auto& start : output.confirmed_starts) {
         on_start_confirmed(now, start);
     }
-    for (const auto& run : output.finished_runs) {
-        observe_run(now, run);
-    }
     for (auto& end : output.ends) {
         observe_duration(end);
+        observe_run(now, end);
         auto& operation = *add_operation().mutable_end();
         *operation.mutable_task() = jobs::to_proto(end.run);
         operation.set_worker(end.worker.str());
--- a/src/jobs/planning_speeds.cpp
+++ b/src/jobs/planning_speeds.cpp
@@ -25,20 +25,20 @@
          absl::StrCat("worker=", worker.str(), " remaining_ms=", remaining.count())});
 }
 
-void coordinator::observe_run(base::time_point now, const worker_table::finished_run& run)
+void coordinator::observe_run(base::time_point now, const worker_table::end_report& end)
 {
-    const auto* const job = m_ledger.find(run.run.task.job);
-    if (job == nullptr) {
+    const auto* const job = m_ledger.find(end.run.task.job);
+    if (job == nullptr || end.how != end_kind::done || !end.took) {
         return;
     }
     // The members of a gang wait for each other, so that the duration of one says nothing.
-    const auto& step = job->spec.steps[run.run.task.step];
+    const auto& key = end.run.task;
+    const auto& step = job->spec.steps[key.step];
     if (step.gang || step.long_running || step.fills) {
         return;
     }
-    const auto& key = run.run.task;
-    m_speeds.observe_run(now, run.worker, run.started_at,
-                         {to_step_id(step_of(key)), step.tasks, run.took});
+    m_speeds.observe_run(now, end.worker, m_ledger.find(key)->worker_started_at,
+                         {to_step_id(step_of(key)), step.tasks, *end.took});
 }
 
 void coordinator::refresh_speeds(base::time_point now)
--- a/src/jobs/worker_answers.cpp
+++ b/src/jobs/worker_answers.cpp
@@ -114,7 +114,6 @@
         if (task != nullptr && task->placed && task->attempt == row.run.attempt &&
             task->worker == worker.info.id) {
             needs_commit = true;
-            record_duration(worker, now, row);
             report(worker, {row.run, worker.info.id, row.how, row.checkpoint, std::nullopt,
                             crash_verdict::unrelated, duration_of(worker, now, row.run)});
             update_health(worker, now, row.run, row.how);
@@ -143,16 +142,6 @@
     return now - *start->second.answered_at;
 }
 
-void worker_table::record_duration(const entry& worker, base::time_point now,
-                                   const finished_row& row)
-{
-    const auto start = worker.starts.find(row.run);
-    if (row.how == end_kind::done && start != worker.starts.end() && start->second.answered_at) {
-        m_out.finished_runs.push_back(
-            {row.run, worker.info.id, worker.info.started_at, now - *start->second.answered_at});
-    }
-}
-
 bool worker_table::is_wanted(const entry& worker, const run_key& run, const job_record* job) const
 {
     const auto* const task = m_ledger.find(run.task);
