Test an evacuation whose leader is killed before it answers

Cause: only a kill after the acknowledgement was tested.

Change: a test with real processes sends the order, kills the leader at once and sends the order again, as operators do.

--- a/tests/processes/evacuation_test.py
+++ b/tests/processes/evacuation_test.py
@@ -217,6 +217,17 @@
         leader.start("core")
         self.withdraw("z1")
 
+    # Guards against a refusal, or a wait beyond the operators' time, when an order that may have been committed comes
+    # again at the next leader.
+    def test_leader_killed_before_it_answers_order_sent_again_is_acknowledged(self):
+        leader = self.order("DELETE", "z1")
+        connection = http.client.HTTPConnection(leader.address, CONTROL, timeout=1)
+        connection.request("POST", "/lovagebeam/evacuate/z1")
+        leader.kill()
+        connection.close()
+        self.order("POST", "z1")
+        self.check_evacuated("z1", "z2", time.monotonic())
+
     def test_leader_killed_and_its_disk_lost_after_acknowledgement(self):
         leader = self.order("POST", "z1")
         acknowledged = time.monotonic()
