--- a/review/12/run.sh
+++ /dev/null
@@ -1,2 +0,0 @@
-#!/bin/sh
-exec python3 "$(dirname "$0")/case.py"
--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -72,7 +72,7 @@
         if self.deployment.advisor:
             out["advice_service"] = self.deployment.advisor
         out |= {"first_internal_port": INTERNAL, "last_internal_port": INTERNAL + 15,
-                "seeds": self.deployment.seeds, "first_start": bootstrap, "tolerated_losses": 1,
+                "seeds": self.deployment.seeds, "first_start": bootstrap, "tolerated_losses": self.deployment.tolerated,
                 "max_lease_ms": HOLD_MAX_MS, "heartbeat_ms": HEARTBEAT_MS, "ack_timeout_ms": ACK_TIMEOUT_MS,
                 "control_mode": "invocation", "log_level": "info"}
         return out
@@ -98,8 +98,8 @@
 
 
 class Deployment:
-    def __init__(self, case_folder, machines=4, diskless=0, seeds=(1, 2, 3)):
-        """The machines with a disk come first; there are `machines` of them, one in each zone."""
+    def __init__(self, case_folder, machines=4, diskless=0, seeds=(1, 2, 3), zones=4, tolerated=1):
+        """The `machines` with a disk come first. All are spread over the zones in turn."""
         if not os.access(PROGRAM, os.X_OK):
             raise CannotRun("target/lovagebeam isn't built")
         self.has_trouble = os.environ.get("TROUBLE", "1") != "0"
@@ -110,7 +110,7 @@
         self.folder = tempfile.mkdtemp(prefix="lovagebeam-review-")
         self.net = free_network()
         self.advisor = None
-        self.zones = machines
+        self.zones, self.tolerated = zones, tolerated
         self.seeds = [f"{self.net}.1.{number}:{CONTROL}" for number in seeds]
         self.machines = [Machine(self, number, number <= machines) for number in range(1, machines + diskless + 1)]
         self.control = [f"{machine.ip}:{CONTROL}" for machine in self.machines]
