--- a/review/harness_3.py
+++ b/review/harness_3.py
@@ -148,6 +148,7 @@
         for _ in range(3):
             status, text, location = self.call_once(address, method, path, body,
                                                     {"Content-Type": "application/json"}, timeout)
+            self.write("order", method=method, path=path, address=address, status=status)
             if status != 307 or not location:
                 break
             address, _, rest = location.removeprefix("http://").partition("/")
