Log the accounts whose steps a planning pass leaves out

Neither logs nor metrics told whether the planner looks at their steps: leader_load has the number of waiting steps, and nothing names the account, the priority or the reason.

Change: steps_passed_over, for one planning pass in a second, names each account and priority with steps that the pass has left out, and how many others were looked at in vain, by reason.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -230,6 +230,8 @@
     [[nodiscard]] std::int64_t answered_budget(const step_key& key) const;
     /// Logs that shares began or ceased to decide.
     void log_shares(const planning_order& pass);
+    /// Logs which accounts have steps that the pass hasn't looked at, for one pass in a second.
+    void log_passed_over(base::time_point now, const planning_order& pass);
     /// Sorts the ready steps again by the weights of the configuration.
     void apply_weights();
     /// Counts a job that was just accepted against the rate of its account.
@@ -394,6 +396,7 @@
     step_order m_order;               ///< of the ready steps
     base::time_point m_last_shortage; ///< when a step couldn't be placed for lack of capacity
     bool m_are_shares_in_force = false;
+    base::time_point m_next_passed_over_log;
     /// When ready steps become late and then expire.
     std::set<std::pair<base::wall_time, step_key>> m_demotions;
     std::set<std::pair<base::wall_time, step_key>>
--- a/include/lovagebeam/jobs/step_order.h
+++ b/include/lovagebeam/jobs/step_order.h
@@ -136,6 +136,21 @@
     [[nodiscard]] bool is_full() const { return m_input.is_full; }
     [[nodiscard]] bool is_shared() const { return m_accounts.size() > 1; }
 
+    /// Steps of one priority that are all expired or all unexpired are planned as one level.
+    using level = std::pair<bool, std::uint32_t>;
+    /// An account some of whose steps of a level the pass hasn't returned, and how many steps
+    /// before them couldn't be placed.
+    struct passed_over_account {
+        std::string account;
+        level of;
+        std::uint32_t unplaceable = 0;
+        std::uint32_t at_limit = 0;
+    };
+    [[nodiscard]] const std::vector<passed_over_account>& passed_over() const
+    {
+        return m_passed_over;
+    }
+
 private:
     struct account_state {
         const std::string* name = nullptr;
@@ -150,8 +165,6 @@
         std::size_t account = 0;
         bool is_beyond_rate = false;
     };
-    /// Steps of one priority that are all expired or all unexpired are planned as one level.
-    using level = std::pair<bool, std::uint32_t>;
     struct entry {
         level of;
         bool is_no_restart = false;
@@ -185,6 +198,7 @@
     step_order::step_rank m_planned_rank; ///< of that step
     std::optional<level> m_level;
     std::uint32_t m_unplaceable_limit = 0; ///< for each account of the level
+    std::vector<passed_over_account> m_passed_over;
 };
 
 } // namespace lovagebeam::jobs
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -70,6 +70,7 @@
         hold_for_gang(now, step->key);
     }
     log_shares(pass);
+    log_passed_over(now, pass);
 }
 
 // Capacity is reserved for these until their tickets expire, so they don't wait behind steps that
--- a/src/jobs/planning_shares.cpp
+++ b/src/jobs/planning_shares.cpp
@@ -9,6 +9,8 @@
 namespace lovagebeam::jobs {
 namespace {
 
+constexpr std::chrono::seconds passed_over_log_interval{1};
+
 /// Whether at most `fraction` of one of the pool's resources is free.
 bool is_nearly_full(const candidate_list::pool_total& pool, double fraction)
 {
@@ -99,6 +101,21 @@
                                  absl::StrCat("waiting_steps=", m_ready.size())});
 }
 
+void coordinator::log_passed_over(base::time_point now, const planning_order& pass)
+{
+    if (pass.passed_over().empty() || now < m_next_passed_over_log) {
+        return;
+    }
+    m_next_passed_over_log = now + passed_over_log_interval;
+    for (const auto& one : pass.passed_over()) {
+        m_out.log_entries.push_back(
+            {"steps_passed_over", std::nullopt,
+             absl::StrCat("account=", one.account, " priority=", one.of.second,
+                          " expired=", one.of.first ? 1 : 0, " at_limit=", one.at_limit,
+                          " no_capacity=", one.unplaceable)});
+    }
+}
+
 void coordinator::apply_weights()
 {
     if (!m_catalog || m_order.has_weights_of(*m_catalog)) {
--- a/src/jobs/step_order.cpp
+++ b/src/jobs/step_order.cpp
@@ -214,6 +214,8 @@
     std::ranges::pop_heap(m_heap, std::greater{});
     m_heap.pop_back();
     auto& from = m_streams[front.stream];
+    const auto& account = m_accounts[from.account];
+    m_passed_over.push_back({*account.name, front.of, account.unplaceable, account.at_limit});
     from.next =
         from.steps->lower_bound({front.of.first, front.of.second + 1, false, false, {}, {}});
     push(front.stream);
