jobs_bench: measure planning with steps that can't be placed

Cause: the bound on the looks of a planning pass keeps its cost independent of the backlog, and the bench had no backlog of steps that can't be placed, so that a change of the bound couldn't be compared.

--- a/bench/jobs_bench/main.cpp
+++ b/bench/jobs_bench/main.cpp
@@ -29,6 +29,8 @@
     double gangs_per_second = 4.3;
     std::uint32_t gang_width = 20;
     double allowed_fraction = 0.5;
+    std::uint32_t at_limit = 0;
+    std::uint32_t without_worker = 0;
     int seconds = 10;
     std::uint64_t seed = 1;
 };
@@ -53,7 +55,9 @@
 
     void run()
     {
+        submit_blocked();
         m_measured_time = {};
+        m_planning_time = {};
         m_starts = 0;
         m_is_loaded = true;
         run_for(std::chrono::seconds{m_options.seconds});
@@ -62,7 +66,8 @@
         std::cout << "workers=" << m_options.workers << " starts=" << m_starts
                   << " starts_per_second=" << m_starts / m_options.seconds
                   << " microseconds_per_start=" << micros / static_cast<double>(m_starts)
-                  << " core_share=" << micros / 1e6 / m_options.seconds
+                  << " core_share=" << micros / 1e6 / m_options.seconds << " planning_core_share="
+                  << std::chrono::duration<double>{m_planning_time}.count() / m_options.seconds
                   << " gangs_started=" << m_gangs_started << " of " << m_gangs
                   << " waiting_steps=" << m_leader->ready_step_count() << '\n';
     }
@@ -137,6 +142,7 @@
         const auto before = m_measured_time;
         measure([&] { out = m_leader->take(m_now, wall()); });
         m_leader->on_planning_time(m_now, m_measured_time - before);
+        m_planning_time += m_measured_time - before;
         for (const auto& [id, batch] : out.batches) {
             commit(id, batch);
         }
@@ -213,8 +219,28 @@
         execute_output();
     }
 
-    void submit(const char* queue, std::uint32_t priority, std::uint32_t tasks,
-                std::int64_t millicores, milliseconds time, bool gang)
+    /// Submits steps that can't be placed while the simulation lasts.
+    void submit_blocked()
+    {
+        auto limited = std::make_shared<catalog>(*m_catalog);
+        ++limited->version;
+        limited->accounts["limited"] = {"limited", {}, 1, {8'000, 0, 0}};
+        m_leader->on_catalog(limited);
+        for (std::uint32_t count = 0; count < m_options.at_limit; ++count) {
+            auto job = make_job("urgent", 0, 1, 9'000, 640ms, false);
+            job.account = "limited";
+            submit(job);
+        }
+        for (std::uint32_t count = 0; count < m_options.without_worker; ++count) {
+            auto job = make_job("urgent", 0, 1, 9'000, 640ms, false);
+            job.steps[0].required_label = "missing";
+            submit(job);
+        }
+        run_for(1s);
+    }
+
+    job_spec make_job(const char* queue, std::uint32_t priority, std::uint32_t tasks,
+                      std::int64_t millicores, milliseconds time, bool gang)
     {
         job_spec job;
         job.id = job_number{m_random.next()};
@@ -229,6 +255,11 @@
         step.estimate = time;
         step.gang = gang;
         job.steps.push_back(step);
+        return job;
+    }
+
+    void submit(const job_spec& job)
+    {
         proto::jobs::Batch batch;
         *batch.add_operations()->mutable_accept()->mutable_spec() = to_proto(job);
         measure([&] { m_leader->on_submission(wall(), job); });
@@ -238,14 +269,14 @@
     void submit_load(double seconds)
     {
         if (m_random.chance(m_options.urgent_per_second * seconds)) {
-            submit("urgent", 0, 3, 9'900, 640ms, false);
+            submit(make_job("urgent", 0, 3, 9'900, 640ms, false));
         }
         if (m_random.chance(m_options.gangs_per_second * seconds)) {
             ++m_gangs;
-            submit("gangs", 1, m_options.gang_width, 18'000, 5'000ms, true);
+            submit(make_job("gangs", 1, m_options.gang_width, 18'000, 5'000ms, true));
         }
         if (m_random.chance(m_options.batch_per_second * seconds)) {
-            submit("batch", 2, 37, 6'900, 3'400ms, false);
+            submit(make_job("batch", 2, 37, 6'900, 3'400ms, false));
         }
     }
 
@@ -283,6 +314,7 @@
     std::uint64_t m_last_action = 0;
     base::time_point m_now{std::chrono::hours{1}};
     base::duration m_measured_time{};
+    base::duration m_planning_time{}; ///< of it, in calls of `take`
     std::uint64_t m_starts = 0;
     std::uint64_t m_gangs = 0;
     std::uint64_t m_gangs_started = 0;
@@ -307,6 +339,10 @@
                                 "tasks of a gang")(
         "allowed", po::value(&chosen.allowed_fraction)->default_value(chosen.allowed_fraction),
         "fraction of the workers that advice allows")(
+        "at-limit", po::value(&chosen.at_limit)->default_value(chosen.at_limit),
+        "waiting jobs that the limit of their account doesn't admit")(
+        "without-worker", po::value(&chosen.without_worker)->default_value(chosen.without_worker),
+        "waiting jobs that no worker can run")(
         "seconds", po::value(&chosen.seconds)->default_value(chosen.seconds))(
         "seed", po::value(&chosen.seed)->default_value(chosen.seed));
     po::variables_map values;
