Look at every waiting step within a bounded number of planning passes

Cause: a planning pass stops looking at the steps of an account and a priority after 32 that wait for its limit, or 32 divided by the accounts that found no worker, so that its cost doesn't grow with the backlog. Each pass began with the same steps. At priority 0 nothing else decides; at other priorities a step isn't looked at for 40 ms, which moves the looks on only while passes are closer together than that, that is with fewer than 600 waiting steps. With nothing running no event begins a pass either, other than the housekeeping of every 5 s.

Change: a quarter of the looks goes to the steps that come first, as before; the rest goes on where the last pass left off, by account, priority and expiry, separately for steps within and beyond the account's rate. While steps are left out, a pass follows after 40 ms though nothing has happened. Steps whose task is larger than what the limit leaves, or than what is free on any worker, are left out without a look (up to 512 in a pass). The sum of the waiting work and the lowest priority, for which each pass went through all ready steps, are kept instead, so that a pass costs no more.

Why it works: the position moves on in each pass and begins anew only after the last step, so n steps that can't be placed delay a look by n/24 passes of an account alone, and with a size that doesn't fit by n/512. The numbers of looks in a pass are as before.

--- a/include/lovagebeam/jobs/candidate_list.h
+++ b/include/lovagebeam/jobs/candidate_list.h
@@ -28,10 +28,10 @@
     };
     struct pool_total {
         std::string name;
-        size free;                     ///< of the usable workers
-        size capacity;                 ///< of the usable workers
-        size planned;                  ///< of the usable workers, as in `candidate::planned`
-        std::int64_t largest_free = 0; ///< millicores on one worker when the last pass began
+        size free;         ///< of the usable workers
+        size capacity;     ///< of the usable workers
+        size planned;      ///< of the usable workers, as in `candidate::planned`
+        size largest_free; ///< of each resource, on one worker when the last pass began
     };
 
     /// Records the state of a worker: `info` points to its record, or is nullptr if it is gone;
--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -93,6 +93,7 @@
         bool is_gang = false;
         std::uint32_t priority = 0;
         std::string account;
+        size task_size;               ///< as booked for one task
         std::int64_t task_use = 0;    ///< counted millicores of one task
         std::int64_t waiting_use = 0; ///< of its tasks that could be placed if there were room
         base::wall_time due_by;       ///< when the job's objective ends
@@ -217,8 +218,9 @@
     /// Whether one task of the step may fit on some candidate, judging by processors only.
     [[nodiscard]] bool may_fit(const planned_step& step) const;
     /// The state of the fleet as the shares of accounts need it.
-    [[nodiscard]] pass_input make_pass_input(base::time_point now) const;
+    [[nodiscard]] pass_input make_pass_input(base::time_point now);
     static std::int64_t counted_use(const size& booked);
+    void set_waiting_use(ready_step& ready, std::int64_t use);
     /// Whether placing `more` for the step takes more than its budget.
     static bool exceeds_budget(const planned_step& step, const size& more);
     /// Whether the fleet has been short of capacity, and a pool still is nearly full.
@@ -369,6 +371,8 @@
 
     [[nodiscard]] bool has_headroom(const planned_step& step, const size& more) const;
     [[nodiscard]] bool is_within_limit(const std::string& account, const size& more) const;
+    /// What the account's limit leaves of each resource.
+    [[nodiscard]] size limit_room(const std::string& account) const;
     [[nodiscard]] const advice_policy* advice_for(const job_spec& job) const;
     [[nodiscard]] std::string pool_of(const job_spec& job) const;
     [[nodiscard]] std::map<base::worker_id, std::uint32_t>
@@ -393,7 +397,9 @@
     base::wall_time m_wall;               ///< at the last call of `take`
     std::shared_ptr<const catalog> m_catalog;
     std::map<step_key, ready_step> m_ready;
+    std::int64_t m_waiting_use = 0;   ///< the sum over the ready steps
     step_order m_order;               ///< of the ready steps
+    left_out_steps m_left_out;        ///< by the last planning pass
     base::time_point m_last_shortage; ///< when a step couldn't be placed for lack of capacity
     bool m_are_shares_in_force = false;
     base::time_point m_next_passed_over_log;
@@ -414,6 +420,9 @@
     std::uint32_t m_lowest_priority = 0; ///< of the ready steps that haven't expired
     std::unique_ptr<preemption> m_preemption;
     base::time_point m_next_plan;
+    /// When the next pass looks at the steps that the last one left out, though nothing has
+    /// changed.
+    std::optional<base::time_point> m_continue_plan;
     proto::jobs::Batch m_batch;
     std::uint64_t m_last_batch = 0;
     std::vector<worker_table::cursor_move> m_cursors; ///< of the next batch
--- a/include/lovagebeam/jobs/coordinator_settings.h
+++ b/include/lovagebeam/jobs/coordinator_settings.h
@@ -25,13 +25,17 @@
     /// can still be in time.
     double expiry_objectives = 3;
     /// After this many steps of one priority that could not be placed, a planning pass continues
-    /// with the next priority, so that its cost doesn't grow with the backlog.
-    /// The number is divided among the accounts that have steps of the priority.
+    /// with the next priority, so that its cost doesn't grow with the backlog. The next passes go
+    /// on with the steps that were left out. The number is divided among the accounts that have
+    /// steps of the priority.
     std::uint32_t max_unplaceable_per_priority = 32;
     /// After this many steps of one priority that wait for the limit of their account, a planning
     /// pass passes over the account's other steps of the priority. They don't count as steps that
     /// could not be placed, since the capacity is there for other accounts.
     std::uint32_t max_at_limit_per_account = 32;
+    /// So many further steps of an account and a priority are left out by their size in one pass:
+    /// a task is larger than what the account's limit leaves, or than what is free on any worker.
+    std::uint32_t max_too_large_per_account = 512;
     /// While a pool has at most this fraction free of some resource, and a step couldn't be placed
     /// within `shortage_memory`, the fleet is full: accounts are planned by their shares. The rest
     /// is headroom and what wide tasks leave unused of their workers.
--- a/include/lovagebeam/jobs/model.h
+++ b/include/lovagebeam/jobs/model.h
@@ -2,9 +2,11 @@
 
 #include "lovagebeam/base/types.h"
 
+#include <algorithm>
 #include <chrono>
 #include <compare>
 #include <cstdint>
+#include <limits>
 #include <map>
 #include <optional>
 #include <string>
@@ -37,6 +39,18 @@
     [[nodiscard]] bool fits_in(const size& limit) const;
 };
 
+/// The larger amount of each resource.
+inline size larger_of_each(const size& left, const size& right)
+{
+    return {std::max(left.millicores, right.millicores), std::max(left.memory_mb, right.memory_mb),
+            std::max(left.accelerators, right.accelerators)};
+}
+
+/// At least as much of each resource as any other size.
+inline constexpr size unlimited_size{std::numeric_limits<std::int64_t>::max(),
+                                     std::numeric_limits<std::int64_t>::max(),
+                                     std::numeric_limits<std::int64_t>::max()};
+
 /// A step of a job: a number of tasks with the same requirements.
 struct step_spec {
     std::uint32_t tasks = 1;
--- a/src/jobs/candidate_list.cpp
+++ b/src/jobs/candidate_list.cpp
@@ -51,12 +51,12 @@
 void candidate_list::begin_pass()
 {
     for (auto& each : m_pools) {
-        each.largest_free = 0;
+        each.largest_free = {};
     }
     for (const auto& each : m_candidates) {
         if (each.is_usable) {
             auto& largest = m_pools[each.pool].largest_free;
-            largest = std::max(largest, each.free.millicores);
+            largest = larger_of_each(largest, each.free);
         }
     }
 }
@@ -89,7 +89,7 @@
     if (found != m_pools.end()) {
         return static_cast<std::size_t>(found - m_pools.begin());
     }
-    m_pools.push_back({name, {}, {}, {}, 0});
+    m_pools.push_back({name, {}, {}, {}, {}});
     return m_pools.size() - 1;
 }
 
--- a/src/jobs/coordinator.cpp
+++ b/src/jobs/coordinator.cpp
@@ -297,8 +297,10 @@
     withdraw_starts();
     m_overload.on_iteration(now);
     collect_worker_output(now);
-    if (m_needs_planning && now >= m_next_plan) {
+    const bool is_plan_due = m_needs_planning || (m_continue_plan && now >= *m_continue_plan);
+    if (is_plan_due && now >= m_next_plan) {
         m_needs_planning = false;
+        m_continue_plan.reset();
         m_next_plan = now + planning_interval();
         m_wall = wall;
         plan(now);
--- a/src/jobs/gang_holds.cpp
+++ b/src/jobs/gang_holds.cpp
@@ -13,12 +13,7 @@
 void coordinator::begin_holds()
 {
     m_holds.begin_pass(m_candidates.all().size());
-    m_lowest_priority = 0;
-    for (const auto& [key, ready] : m_ready) {
-        if (!ready.is_expired) {
-            m_lowest_priority = std::max(m_lowest_priority, ready.priority);
-        }
-    }
+    m_lowest_priority = m_order.lowest_unexpired_priority();
 }
 
 // Gangs that can no longer be in time wait for what is left.
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -71,6 +71,9 @@
     }
     log_shares(pass);
     log_passed_over(now, pass);
+    if (pass.has_left_out()) {
+        m_continue_plan = now + m_settings.planner.look_interval;
+    }
 }
 
 // Capacity is reserved for these until their tickets expire, so they don't wait behind steps that
@@ -142,7 +145,7 @@
     }
     if (is_stopped_by_limit(step)) {
         ready.next_look = now + look_interval(ready);
-        ready.waiting_use = 0;
+        set_waiting_use(ready, 0);
         return obstacle::account_limit;
     }
     if (!release_preempted_room(key) && !may_fit(step)) {
@@ -153,7 +156,7 @@
     commit(now, step, chosen);
     step.budget -= static_cast<std::int64_t>(chosen.size()) * ready.task_use;
     const auto waiting = static_cast<std::int64_t>(waiting_tasks(step).size());
-    ready.waiting_use = ready.task_use * waiting;
+    set_waiting_use(ready, ready.task_use * waiting);
     if (waiting == 0) {
         release_reservation(key);
         remove_ready_step(key);
@@ -201,7 +204,7 @@
 bool coordinator::may_fit(const planned_step& step) const
 {
     const auto* const total = m_candidates.pool(step.pool);
-    return total != nullptr && booked_size(step.spec).millicores <= total->largest_free;
+    return total != nullptr && booked_size(step.spec).millicores <= total->largest_free.millicores;
 }
 
 void coordinator::commit(base::time_point now, const planned_step& step,
--- a/src/jobs/planning_advice.cpp
+++ b/src/jobs/planning_advice.cpp
@@ -92,13 +92,13 @@
     const auto& step = job.steps[key.step];
     const auto step_hash = std::hash<std::uint64_t>{}(key.job.value()) + key.step;
     std::vector<advice_candidate> unknown;
+    const auto* const total = m_candidates.pool(pool);
     for (const auto& candidate : m_candidates.all()) {
-        if (!candidate.is_usable) {
+        if (!candidate.is_usable || &m_candidates.pools()[candidate.pool] != total) {
             continue;
         }
         const auto& info = *candidate.info;
-        if (info.pool == pool && has_label(info, step.required_label) &&
-            step.size.fits_in(info.capacity) &&
+        if (step.size.fits_in(candidate.capacity) && has_label(info, step.required_label) &&
             (known == nullptr ||
              (!known->allowed.contains(info.id) && !known->refused.contains(info.id)))) {
             const auto worker_hash = std::hash<std::string>{}(info.id.str());
--- a/src/jobs/planning_assignment.cpp
+++ b/src/jobs/planning_assignment.cpp
@@ -70,19 +70,28 @@
 }
 
 bool coordinator::is_within_limit(const std::string& account, const size& more) const
+{
+    return more.fits_in(limit_room(account));
+}
+
+size coordinator::limit_room(const std::string& account) const
 {
     const auto found = m_catalog->accounts.find(account);
     if (found == m_catalog->accounts.end()) {
-        return true;
+        return unlimited_size;
     }
     const auto& limit = found->second.limit;
-    auto used = m_ledger.used_by(account) + more;
+    auto used = m_ledger.used_by(account);
     if (const auto planned = m_planned_by.find(account); planned != m_planned_by.end()) {
         used += planned->second;
     }
-    return (limit.millicores == 0 || used.millicores <= limit.millicores) &&
-           (limit.memory_mb == 0 || used.memory_mb <= limit.memory_mb) &&
-           (limit.accelerators == 0 || used.accelerators <= limit.accelerators);
+    auto room = unlimited_size;
+    for (const auto resource : {&size::millicores, &size::memory_mb, &size::accelerators}) {
+        if (limit.*resource != 0) {
+            room.*resource = limit.*resource - used.*resource;
+        }
+    }
+    return room;
 }
 
 std::vector<coordinator::assignment> coordinator::assign(base::time_point now,
--- a/src/jobs/planning_restarts.cpp
+++ b/src/jobs/planning_restarts.cpp
@@ -30,7 +30,7 @@
     ready.is_restart = true;
     ready.is_late = false;
     ready.is_expired = false;
-    m_order.insert(ready.account, rank_of(key, ready));
+    m_order.insert(ready.account, rank_of(key, ready), ready.task_size);
     m_advice.change_rank(key, call_rank_of(ready));
 }
 
--- a/src/jobs/planning_shares.cpp
+++ b/src/jobs/planning_shares.cpp
@@ -3,6 +3,7 @@
 #include <absl/strings/str_cat.h>
 
 #include <algorithm>
+#include <utility>
 
 // What the planner passes to the shares of accounts.
 
@@ -25,12 +26,15 @@
 
 } // namespace
 
-pass_input coordinator::make_pass_input(base::time_point now) const
+pass_input coordinator::make_pass_input(base::time_point now)
 {
     pass_input input;
+    input.largest_free = {};
+    input.left_out = &m_left_out;
     input.is_full = is_short(now) || is_demand_above_free();
     for (const auto& pool : m_candidates.pools()) {
         input.capacity += counted_use(pool.capacity);
+        input.largest_free = larger_of_each(input.largest_free, pool.largest_free);
     }
     input.used = [this](const std::string& account) {
         auto used = counted_use(m_ledger.used_by(account)) + m_order.reserved_millicores(account);
@@ -40,7 +44,9 @@
         return used;
     };
     input.limits = {m_settings.planner.max_unplaceable_per_priority,
-                    m_settings.planner.max_at_limit_per_account};
+                    m_settings.planner.max_at_limit_per_account,
+                    m_settings.planner.max_too_large_per_account};
+    input.limit_room = [this](const std::string& account) { return limit_room(account); };
     input.task_use = [this](const step_key& key) { return m_ready.at(key).task_use; };
     return input;
 }
@@ -66,17 +72,18 @@
            });
 }
 
-// Ends as soon as the answer is known, so that it costs little with a large backlog.
 bool coordinator::is_demand_above_free() const
 {
     std::int64_t free = 0;
     for (const auto& pool : m_candidates.pools()) {
         free += counted_use(pool.free);
     }
-    return std::ranges::any_of(m_ready, [&free](const auto& entry) {
-        free -= entry.second.waiting_use;
-        return free < 0;
-    });
+    return m_waiting_use > free;
+}
+
+void coordinator::set_waiting_use(ready_step& ready, std::int64_t use)
+{
+    m_waiting_use += use - std::exchange(ready.waiting_use, use);
 }
 
 std::int64_t coordinator::answered_budget(const step_key& key) const
@@ -110,9 +117,9 @@
     for (const auto& one : pass.passed_over()) {
         m_out.log_entries.push_back(
             {"steps_passed_over", std::nullopt,
-             absl::StrCat("account=", one.account, " priority=", one.of.second,
-                          " expired=", one.of.first ? 1 : 0, " at_limit=", one.at_limit,
-                          " no_capacity=", one.unplaceable)});
+             absl::StrCat("account=", one.account, " priority=", one.level.second,
+                          " expired=", one.level.first ? 1 : 0, " at_limit=", one.at_limit,
+                          " no_capacity=", one.unplaceable, " too_large=", one.too_large)});
     }
 }
 
@@ -122,9 +129,10 @@
         return;
     }
     m_order.clear();
+    m_left_out.clear();
     m_order.set_weights(*m_catalog, m_ledger);
     for (const auto& [key, ready] : m_ready) {
-        m_order.insert(ready.account, rank_of(key, ready));
+        m_order.insert(ready.account, rank_of(key, ready), ready.task_size);
     }
 }
 
--- a/src/jobs/ready_steps.cpp
+++ b/src/jobs/ready_steps.cpp
@@ -38,16 +38,18 @@
     ready.is_gang = job.spec.steps[key.step].gang;
     ready.priority = job.spec.priority;
     ready.account = job.spec.account;
-    ready.task_use = counted_use(booked_size(job.spec.steps[key.step]));
+    ready.task_size = booked_size(job.spec.steps[key.step]);
+    ready.task_use = counted_use(ready.task_size);
     const auto chains = remaining_chains(job.spec, advice_time(advice_for(job.spec)), m_estimates);
     const auto longest = longest_chain(chains);
     ready.due_by = from + objective_of(job.spec, longest, 1);
     ready.late_at = ready.due_by - chains[key.step];
     ready.expires_at = from + objective_of(job.spec, longest, m_settings.planner.expiry_objectives);
     const auto& record = job.step(key.occurrence, key.step);
-    ready.waiting_use = ready.task_use * (std::int64_t{record.undone} - record.placed);
-    if (m_ready.emplace(key, ready).second) {
-        m_order.insert(ready.account, rank_of(key, ready));
+    if (const auto [added, is_new] = m_ready.emplace(key, ready); is_new) {
+        set_waiting_use(added->second,
+                        ready.task_use * (std::int64_t{record.undone} - record.placed));
+        m_order.insert(ready.account, rank_of(key, ready), ready.task_size);
         m_demotions.emplace(ready.late_at, key);
     }
     promote_restart(key);
@@ -67,6 +69,7 @@
             {found->second.is_late ? found->second.expires_at : found->second.late_at, key});
         release_preempted_room(key);
         m_preemption->needs.erase(key);
+        set_waiting_use(found->second, 0);
         m_ready.erase(found);
     }
 }
@@ -86,7 +89,7 @@
             ready.is_late = true;
             m_demotions.emplace(ready.expires_at, key);
         }
-        m_order.insert(ready.account, rank_of(key, ready));
+        m_order.insert(ready.account, rank_of(key, ready), ready.task_size);
         m_advice.change_rank(key, call_rank_of(ready));
     }
 }
--- a/src/jobs/step_order.cpp
+++ b/src/jobs/step_order.cpp
@@ -1,6 +1,7 @@
 #include "lovagebeam/jobs/step_order.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 namespace lovagebeam::jobs {
@@ -22,6 +23,23 @@
     return out;
 }
 
+std::uint32_t divide_up(std::uint32_t whole, std::uint32_t parts)
+{
+    return (whole + parts - 1) / parts;
+}
+
+/// How many of the looks go to the steps that come first. Freed capacity is offered to them on each
+/// pass.
+std::uint32_t first_looks(std::uint32_t limit)
+{
+    return divide_up(limit, 4);
+}
+
+step_level level_of(const step_order::step_rank& rank)
+{
+    return {std::get<0>(rank), std::get<1>(rank)};
+}
+
 } // namespace
 
 bool step_order::has_weights_of(const catalog& configured) const
@@ -77,16 +95,16 @@
     m_jobs.erase(id);
 }
 
-std::set<step_order::step_rank>& step_order::steps_of(const std::string& account, job_number job)
+step_order::ranked_steps& step_order::steps_of(const std::string& account, job_number job)
 {
     const auto found = m_jobs.find(job);
     auto& steps = m_accounts[account];
     return found != m_jobs.end() && found->second ? steps.beyond_rate : steps.owed;
 }
 
-void step_order::insert(const std::string& account, const step_rank& rank)
+void step_order::insert(const std::string& account, const step_rank& rank, const size& task)
 {
-    steps_of(account, std::get<step_key>(rank).job).insert(rank);
+    steps_of(account, std::get<step_key>(rank).job).emplace(rank, task);
 }
 
 void step_order::erase(const std::string& account, const step_rank& rank)
@@ -111,6 +129,21 @@
     return found == m_reserved.end() ? 0 : found->second;
 }
 
+std::uint32_t step_order::lowest_unexpired_priority() const
+{
+    const step_rank first_expired{true, 0, false, false, {}, {}};
+    std::uint32_t lowest = 0;
+    for (const auto& [account, steps] : m_accounts) {
+        for (const auto* const each : {&steps.owed, &steps.beyond_rate}) {
+            const auto end = each->lower_bound(first_expired);
+            if (end != each->begin()) {
+                lowest = std::max(lowest, level_of(std::prev(end)->first).second);
+            }
+        }
+    }
+    return lowest;
+}
+
 std::map<std::string, step_order::account_counts> step_order::counts() const
 {
     std::map<std::string, account_counts> out;
@@ -136,7 +169,7 @@
             m_streams.push_back(
                 {each, each->begin(), m_accounts.size(), each == &steps.beyond_rate});
         }
-        m_accounts.push_back({&name, 0, 0, std::nullopt});
+        m_accounts.push_back({&name});
     }
     for (std::size_t i = 0; i < m_streams.size(); ++i) {
         push(i);
@@ -164,7 +197,7 @@
 planning_order::entry planning_order::entry_of(std::size_t index)
 {
     const auto& from = m_streams[index];
-    const auto& [is_expired, priority, is_no_restart, is_late, due_by, key] = *from.next;
+    const auto& [is_expired, priority, is_no_restart, is_late, due_by, key] = from.next->first;
     return {{is_expired, priority},
             is_no_restart,
             is_shared() && from.is_beyond_rate,
@@ -183,42 +216,124 @@
     }
 }
 
-bool planning_order::is_passed_over(const account_state& account) const
-{
-    return account.unplaceable >= m_unplaceable_limit ||
-           account.at_limit >= m_input.limits.at_limit;
-}
-
-void planning_order::begin_level(const level& next)
+void planning_order::begin_level(const step_level& next)
 {
+    end_level();
     m_level = next;
-    std::set<std::size_t> present;
+    std::vector<std::uint32_t> streams(m_accounts.size());
     for (const auto& each : m_heap) {
-        if (each.of == next) {
-            present.insert(m_streams[each.stream].account);
-        }
+        streams[m_streams[each.stream].account] += each.level == next ? 1 : 0;
     }
+    const auto& limits = m_input.limits;
+    const auto accounts =
+        static_cast<std::uint32_t>(std::ranges::count_if(streams, [](auto n) { return n > 0; }));
+    const vain_looks of_account{std::max(std::min(min_unplaceable_per_account, limits.unplaceable),
+                                         divide_up(limits.unplaceable, accounts)),
+                                limits.at_limit, limits.too_large};
     for (auto& account : m_accounts) {
-        account.unplaceable = 0;
-        account.at_limit = 0;
+        account.vain = {};
+    }
+    for (auto& from : m_streams) {
+        const auto parts = !from.is_beyond_rate && streams[from.account] > 1 ? 2U : 1U;
+        from.vain = {};
+        from.limits = {divide_up(of_account.unplaceable, parts),
+                       divide_up(of_account.at_limit, parts),
+                       divide_up(of_account.too_large, parts)};
+        from.has_resumed = false;
+        from.is_passed_over = false;
+    }
+}
+
+void planning_order::end_level()
+{
+    if (!m_level || m_input.left_out == nullptr) {
+        return;
     }
-    const auto accounts = static_cast<std::uint32_t>(present.size());
-    m_unplaceable_limit =
-        std::max(std::min(min_unplaceable_per_account, m_input.limits.unplaceable),
-                 (m_input.limits.unplaceable + accounts - 1) / accounts);
+    for (const auto& from : m_streams) {
+        if (from.has_resumed && !from.is_passed_over) {
+            m_input.left_out->erase(key_of(from, *m_level));
+        }
+    }
+}
+
+left_out_steps::key_type planning_order::key_of(const step_stream& from,
+                                                const step_level& level) const
+{
+    return {*m_accounts[from.account].name, from.is_beyond_rate, level};
 }
 
-void planning_order::pass_over_front()
+bool planning_order::advance_front()
 {
     const auto front = m_heap.front();
+    auto& from = m_streams[front.stream];
+    const auto before = from.next;
+    const auto& limits = from.limits;
+    const auto& spent = from.is_beyond_rate ? m_accounts[from.account].vain : from.vain;
+    if (spent.unplaceable >= limits.unplaceable || spent.at_limit >= limits.at_limit ||
+        spent.too_large >= limits.too_large) {
+        pass_over(from, front.level);
+    }
+    else if (spent.unplaceable >= first_looks(limits.unplaceable) ||
+             spent.at_limit >= first_looks(limits.at_limit)) {
+        resume(from, front.level);
+        leave_out_large(from, front.level);
+    }
+    if (from.next == before) {
+        return false;
+    }
     std::ranges::pop_heap(m_heap, std::greater{});
     m_heap.pop_back();
-    auto& from = m_streams[front.stream];
-    const auto& account = m_accounts[from.account];
-    m_passed_over.push_back({*account.name, front.of, account.unplaceable, account.at_limit});
-    from.next =
-        from.steps->lower_bound({front.of.first, front.of.second + 1, false, false, {}, {}});
     push(front.stream);
+    return true;
+}
+
+void planning_order::resume(step_stream& from, const step_level& level)
+{
+    if (std::exchange(from.has_resumed, true) || m_input.left_out == nullptr) {
+        return;
+    }
+    const auto first = m_input.left_out->find(key_of(from, level));
+    if (first != m_input.left_out->end() && first->second > from.next->first) {
+        from.next = from.steps->lower_bound(first->second);
+        m_has_left_out = true;
+    }
+}
+
+void planning_order::leave_out_large(step_stream& from, const step_level& level)
+{
+    auto& account = m_accounts[from.account];
+    const auto& spent = from.is_beyond_rate ? account.vain : from.vain;
+    while (from.next != from.steps->end() && level_of(from.next->first) == level &&
+           spent.too_large < from.limits.too_large &&
+           is_too_large(account, level, from.next->second)) {
+        ++from.next;
+        ++from.vain.too_large;
+        ++account.vain.too_large;
+    }
+}
+
+// Urgent steps may get room by preemption.
+bool planning_order::is_too_large(account_state& account, const step_level& level,
+                                  const size& task) const
+{
+    if (m_input.limit_room && !account.limit_room) {
+        account.limit_room = m_input.limit_room(*account.name);
+    }
+    const bool may_preempt = level == step_level{false, 0};
+    return (account.limit_room && !task.fits_in(*account.limit_room)) ||
+           (!may_preempt && !task.fits_in(m_input.largest_free));
+}
+
+void planning_order::pass_over(step_stream& from, const step_level& level)
+{
+    if (m_input.left_out != nullptr) {
+        m_input.left_out->insert_or_assign(key_of(from, level), from.next->first);
+    }
+    from.is_passed_over = true;
+    m_has_left_out = true;
+    m_passed_over.push_back({*m_accounts[from.account].name, level, from.vain.unplaceable,
+                             from.vain.at_limit, from.vain.too_large});
+    from.next = from.steps->lower_bound({level.first, level.second + 1, false, false, {}, {}});
 }
 
 std::int64_t planning_order::budget_of(const entry& current)
@@ -226,16 +341,14 @@
     if (!m_input.is_full || !is_shared()) {
         return unlimited;
     }
-    while (!m_heap.empty() && m_heap.front().of == current.of &&
-           is_passed_over(m_accounts[m_streams[m_heap.front().stream].account])) {
-        pass_over_front();
+    while (!m_heap.empty() && m_heap.front().level == current.level && advance_front()) {
     }
     if (m_heap.empty()) {
         return unlimited;
     }
     const auto& other = m_heap.front();
     const auto class_of = [](const entry& one) {
-        return std::tie(one.of, one.is_no_restart, one.is_beyond_rate, one.is_late);
+        return std::tie(one.level, one.is_no_restart, one.is_beyond_rate, one.is_late);
     };
     if (class_of(other) != class_of(current)) {
         return unlimited;
@@ -253,15 +366,14 @@
     }
     while (!m_heap.empty()) {
         const auto front = m_heap.front();
-        if (m_level != front.of) {
-            begin_level(front.of);
+        if (m_level != front.level) {
+            begin_level(front.level);
         }
-        auto& from = m_streams[front.stream];
-        auto& account = m_accounts[from.account];
-        if (is_passed_over(account)) {
-            pass_over_front();
+        if (advance_front()) {
             continue;
         }
+        auto& from = m_streams[front.stream];
+        auto& account = m_accounts[from.account];
         std::ranges::pop_heap(m_heap, std::greater{});
         m_heap.pop_back();
         if (share_rank(account, front.key) != front.share_rank) {
@@ -269,11 +381,13 @@
             continue;
         }
         m_planned = front.stream;
-        m_planned_rank = *from.next++;
-        const bool is_first = is_shared() && m_input.is_full &&
-                              account.unplaceable + account.at_limit < first_steps_of_account;
+        m_planned_rank = (from.next++)->first;
+        const bool is_first =
+            is_shared() && m_input.is_full &&
+            account.vain.unplaceable + account.vain.at_limit < first_steps_of_account;
         return next_step{front.key, is_first, budget_of(front)};
     }
+    end_level();
     return std::nullopt;
 }
 
@@ -281,9 +395,12 @@
 {
     auto& from = m_streams[*m_planned];
     auto& account = m_accounts[from.account];
-    account.unplaceable += outcome == obstacle::no_capacity ? 1 : 0;
-    account.at_limit += outcome == obstacle::account_limit ? 1 : 0;
+    for (auto* const vain : {&from.vain, &account.vain}) {
+        vain->unplaceable += outcome == obstacle::no_capacity ? 1 : 0;
+        vain->at_limit += outcome == obstacle::account_limit ? 1 : 0;
+    }
     account.used.reset();
+    account.limit_room.reset();
     if (outcome == obstacle::share) {
         from.next = from.steps->lower_bound(m_planned_rank);
     }
--- a/tests/jobs/step_order_test.cpp
+++ b/tests/jobs/step_order_test.cpp
@@ -33,6 +33,11 @@
     CPPUNIT_TEST(use_that_grows_in_pass_changes_order);
     CPPUNIT_TEST(step_with_many_tasks_leaves_room_for_other_account);
     CPPUNIT_TEST(account_unplaceable_is_passed_over_up_to_next_priority);
+    CPPUNIT_TEST(steps_left_out_are_looked_at_in_later_passes);
+    CPPUNIT_TEST(steps_left_out_beyond_rate_are_looked_at_in_later_passes);
+    CPPUNIT_TEST(first_steps_are_looked_at_in_each_pass);
+    CPPUNIT_TEST(step_that_fits_behind_large_ones_is_looked_at_in_first_pass);
+    CPPUNIT_TEST(urgent_steps_too_large_for_free_capacity_are_looked_at);
     CPPUNIT_TEST(step_removed_in_pass_others_follow);
     CPPUNIT_TEST(job_resent_counts_once);
     CPPUNIT_TEST(record_counted_again_gives_same_order);
@@ -165,6 +170,79 @@
         }
     }
 
+    // Guards against steps that no pass ever looks at, since others that can't be placed come
+    // before them.
+    void steps_left_out_are_looked_at_in_later_passes()
+    {
+        for (const auto outcome : {obstacle::no_capacity, obstacle::account_limit}) {
+            step_order order;
+            for (std::uint64_t job = 1; job <= 1'000; ++job) {
+                order.insert("a", rank(job, 1, milliseconds{job}));
+            }
+            CPPUNIT_ASSERT_EQUAL(std::size_t{1'000}, looked_at(order, outcome, 1'000 / 24 + 1));
+        }
+    }
+
+    void steps_left_out_beyond_rate_are_looked_at_in_later_passes()
+    {
+        for (const auto outcome : {obstacle::no_capacity, obstacle::account_limit}) {
+            step_order order;
+            order.insert("b", rank(1'000, 1, 1ms));
+            for (std::uint64_t job = 1; job <= 400; ++job) {
+                accept(order, "a", job, static_cast<int>(job));
+            }
+            CPPUNIT_ASSERT(order.counts().at("a").jobs_beyond_rate > 300);
+            CPPUNIT_ASSERT_EQUAL(std::size_t{401}, looked_at(order, outcome, 400 / 10 + 1));
+        }
+    }
+
+    void first_steps_are_looked_at_in_each_pass()
+    {
+        step_order order;
+        for (std::uint64_t job = 1; job <= 200; ++job) {
+            order.insert("a", rank(job, 1, milliseconds{job}));
+        }
+        for (int count = 0; count < 20; ++count) {
+            const auto jobs = pass_over(order, obstacle::no_capacity);
+            CPPUNIT_ASSERT(jobs.size() <= 32);
+            for (std::uint64_t job = 1; job <= 8; ++job) {
+                CPPUNIT_ASSERT_EQUAL(job, jobs.at(job - 1));
+            }
+        }
+    }
+
+    // Guards against a wait that grows with the number of steps which are known not to fit.
+    void step_that_fits_behind_large_ones_is_looked_at_in_first_pass()
+    {
+        step_order order;
+        for (std::uint64_t job = 1; job <= 500; ++job) {
+            order.insert("a", rank(job, 1, milliseconds{job}), {9'000, 100, 0});
+        }
+        order.insert("a", rank(501, 1, 501ms), {3'000, 100, 0});
+        order.insert("a", rank(502, 1, 502ms), {3'000, 300, 0});
+        const auto is_looked_at = [&](const size& room, const size& free) {
+            m_limit_room = room;
+            m_largest_free = free;
+            const auto jobs = pass_over(order, obstacle::account_limit);
+            CPPUNIT_ASSERT(jobs.size() <= 32);
+            return std::ranges::count(jobs, 501) > 0 && std::ranges::count(jobs, 502) == 0;
+        };
+        CPPUNIT_ASSERT(is_looked_at({8'000, 200, 0}, {64'000, 1'000, 0}));
+        CPPUNIT_ASSERT(is_looked_at({64'000, 1'000, 0}, {8'000, 200, 0}));
+    }
+
+    // They may get room by preemption.
+    void urgent_steps_too_large_for_free_capacity_are_looked_at()
+    {
+        step_order order;
+        for (std::uint64_t job = 1; job <= 200; ++job) {
+            order.insert("a", rank(job, 0, milliseconds{job}), {9'000, 100, 0});
+        }
+        m_largest_free = {1'000, 1'000, 0};
+        CPPUNIT_ASSERT_EQUAL(std::size_t{200},
+                             looked_at(order, obstacle::no_capacity, 200 / 24 + 1));
+    }
+
     void step_removed_in_pass_others_follow()
     {
         step_order order;
@@ -228,7 +306,34 @@
                     return found == m_used.end() ? 0 : found->second;
                 },
                 {},
-                {}};
+                {},
+                [this](const std::string&) { return m_limit_room; },
+                m_largest_free,
+                &m_left_out};
+    }
+
+    /// Returns the jobs that one pass looks at, with the same outcome for each.
+    std::vector<std::uint64_t> pass_over(const step_order& order, obstacle outcome)
+    {
+        planning_order pass{order, input(false)};
+        std::vector<std::uint64_t> jobs;
+        while (const auto next = pass.next()) {
+            jobs.push_back(next->key.job.value());
+            pass.on_planned(outcome);
+        }
+        return jobs;
+    }
+
+    /// Returns how many jobs that many passes look at.
+    std::size_t looked_at(const step_order& order, obstacle outcome, int passes)
+    {
+        std::set<std::uint64_t> seen;
+        for (int count = 0; count < passes; ++count) {
+            seen.merge([](const auto& jobs) {
+                return std::set<std::uint64_t>(jobs.begin(), jobs.end());
+            }(pass_over(order, outcome)));
+        }
+        return seen.size();
     }
 
     std::vector<step_key> keys_of(const step_order& order, bool is_full)
@@ -263,6 +368,9 @@
     }
 
     std::map<std::string, std::int64_t> m_used;
+    size m_limit_room = unlimited_size;
+    size m_largest_free = unlimited_size;
+    left_out_steps m_left_out;
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(step_order_test);
