Try all urgent steps in turn when room is made by stopping runs

What callers would have seen: an urgent job that could get room at once by stopping batch work waits for as long as urgent jobs of many accounts wait before it, for which nothing can be stopped.

A planning pass tries to make room for 32 steps and compares 128 workers. A step that was tried in vain is due again after 20 ms, and passes are up to 40 ms apart, so that the first steps used up each pass.

Change: rounds. A step that was tried in vain isn't tried again before a pass has left out no step and no worker for one of these bounds. Without steps that are left out each pass is a round, as before.

Evidence: both tests failed before the change, the lookup had not started after 3 s: urgent_step_behind_many_without_victims_gets_room (40 accounts with 8 steps each that no worker can run) and urgent_step_whose_workers_are_compared_last_gets_room (two steps whose 128 workers run only long-running tasks). They pass now; jobs_test passes.

--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -74,6 +74,7 @@
     if (state.current.at == now) {
         return;
     }
+    state.round += state.current.has_left_out ? 0 : 1;
     state.current = {};
     state.current.at = now;
     state.first_worker += state.policy.workers_per_step;
@@ -204,13 +205,23 @@
         return false;
     }
     begin_preemption_pass(now);
+    if (need.round == state.round) {
+        return false;
+    }
     if (state.current.steps >= state.policy.steps_per_pass) {
+        state.current.has_left_out = true;
         return false;
     }
     need.next_plan = now + state.policy.retry;
     ++state.current.steps;
     make_room(now, step, wanted - need.rooms.size());
     if (need.rooms.size() < wanted) {
+        if (state.current.lacks_workers) {
+            state.current.has_left_out = true;
+        }
+        else {
+            need.round = state.round;
+        }
         return false;
     }
     // By then a stop without an answer no longer counts as room on the way.
@@ -325,10 +336,12 @@
         allowed.resize(state.policy.workers_per_step);
     }
     const auto counts = counts_on_workers(step);
+    state.current.lacks_workers = false;
     std::vector<planner::worker> out;
     for (const auto* const each : allowed) {
         if (!state.current.by_worker.contains(each) &&
             state.current.by_worker.size() >= state.policy.workers_per_pass) {
+            state.current.lacks_workers = true;
             continue;
         }
         auto most = std::numeric_limits<std::uint32_t>::max();
--- a/tests/jobs/preemption_test.cpp
+++ b/tests/jobs/preemption_test.cpp
@@ -18,6 +18,8 @@
 constexpr auto stop_time = 200ms;
 /// How long an urgent step may wait for room.
 constexpr auto room_time = 500ms;
+/// How long any step that could run may wait while nothing of its account runs.
+constexpr base::duration longest_wait = 3s;
 constexpr std::uint64_t first_lookup = 1'000;
 
 /// Tasks of 16 processors, four of which fill a worker.
@@ -49,6 +51,8 @@
     CPPUNIT_TEST(short_wait_for_room_preempts_nothing);
     CPPUNIT_TEST(no_more_is_stopped_than_the_burst_needs);
     CPPUNIT_TEST(burst_behind_steps_without_worker_starts_with_as_few_stops);
+    CPPUNIT_TEST(urgent_step_behind_many_without_victims_gets_room);
+    CPPUNIT_TEST(urgent_step_whose_workers_are_compared_last_gets_room);
     CPPUNIT_TEST(batch_work_does_not_take_freed_room);
     CPPUNIT_TEST(checkpoint_of_stopped_run_is_kept);
     CPPUNIT_TEST(freshly_checkpointed_run_is_stopped_first);
@@ -147,6 +151,51 @@
         CPPUNIT_ASSERT(cell->violations.empty());
     }
 
+    // Guards against attempts to make room that are always spent on the same steps, which nothing
+    // that could be stopped keeps from running.
+    void urgent_step_behind_many_without_victims_gets_room()
+    {
+        auto cell = full_cell({});
+        submit_without_worker(*cell, 40, 8);
+        submit_lookups(*cell, 1, 300s);
+        cell->run_for(longest_wait);
+        CPPUNIT_ASSERT(first_start_after(*cell, 1) <= longest_wait);
+        CPPUNIT_ASSERT(cell->violations.empty());
+    }
+
+    // The same for workers: the first two lookups can only use workers on which nothing can be
+    // stopped, as many as one pass compares.
+    void urgent_step_whose_workers_are_compared_last_gets_room()
+    {
+        sim_cell cell{1, {.workers = 138, .urgent_headroom = 0}};
+        cell.run_for(1s);
+        int number = 0;
+        for (auto& [id, worker] : cell.workers) {
+            worker.info.labels = {number < 64 ? "first" : number < 128 ? "second" : "third"};
+            cell.change_capacity(id, worker.info.capacity.millicores);
+            ++number;
+        }
+        cell.run_for(2s);
+        std::uint64_t next = 1;
+        for (const auto& [label, tasks] :
+             {std::pair{"first", 256U}, {"second", 256U}, {"third", 40U}}) {
+            auto job = batch(next++, tasks);
+            job.steps[0].required_label = label;
+            job.steps[0].long_running = tasks == 256;
+            cell.submit(job);
+        }
+        cell.run_for(2s);
+        for (const auto* const label : {"first", "second", "third"}) {
+            auto job = lookup(m_next++);
+            job.steps[0].required_label = label;
+            job.target_latency = label == std::string{"third"} ? 300s : 200s;
+            cell.submit(job);
+        }
+        cell.run_for(longest_wait);
+        CPPUNIT_ASSERT(cell.was_placed(job_number{m_next - 1}));
+        CPPUNIT_ASSERT(cell.violations.empty());
+    }
+
     void batch_work_does_not_take_freed_room()
     {
         auto cell = full_cell({});
