Test lowered limits with advice and under a new leader

Cause: the tests of steps that come behind others that can't be placed had neither tickets to ask for nor a leader that doesn't know where earlier passes have ended.

They were written after the fix, so they haven't failed before it.

--- a/tests/jobs/blocked_steps_test.cpp
+++ b/tests/jobs/blocked_steps_test.cpp
@@ -27,6 +27,8 @@
     CPPUNIT_TEST(memory_limit_lowered_steps_within_it_run);
     CPPUNIT_TEST(accelerator_limit_lowered_steps_within_it_run);
     CPPUNIT_TEST(limit_lowered_expired_steps_within_it_run);
+    CPPUNIT_TEST(limit_lowered_with_advice_steps_within_it_run);
+    CPPUNIT_TEST(leader_changed_steps_within_limit_run);
     CPPUNIT_TEST(gangs_at_limit_single_tasks_run);
     CPPUNIT_TEST(several_accounts_at_limit_steps_within_it_run);
     CPPUNIT_TEST(label_missing_urgent_step_behind_is_placed);
@@ -67,6 +69,26 @@
         check_small_run({8'000, 0, 0}, {9'000, 64, 0}, {3'000, 64, 0}, 1, 200, 1s);
     }
 
+    void limit_lowered_with_advice_steps_within_it_run()
+    {
+        check_small_run({8'000, 0, 0}, {9'000, 64, 0}, {3'000, 64, 0}, 1, large_backlog, 300s,
+                        true);
+    }
+
+    // The next leader knows neither where passes have ended nor which workers advice allows.
+    void leader_changed_steps_within_limit_run()
+    {
+        auto cell = make_cell(true);
+        limit(*cell, "account", {8'000, 0, 0});
+        for (std::uint64_t id = 1; id <= large_backlog; ++id) {
+            cell->submit(make_job(id, {9'000, 64, 0}, 1));
+        }
+        cell->run_for(1s);
+        cell->change_leader();
+        cell->run_for(200ms);
+        check_placed_soon(*cell, make_job(first_small, {3'000, 64, 0}, 1));
+    }
+
     // One member of each gang is within the limit, the whole gang isn't.
     void gangs_at_limit_single_tasks_run()
     {
@@ -218,9 +240,9 @@
     /// nothing, and then admits the small ones.
     static void check_small_run(const size& most, const size& large, const size& small,
                                 std::uint32_t priority, std::uint64_t count,
-                                milliseconds target = 300s)
+                                milliseconds target = 300s, bool with_advice = false)
     {
-        auto cell = make_cell();
+        auto cell = make_cell(with_advice);
         for (auto& [id, worker] : cell->workers) {
             worker.info.capacity.accelerators = 4;
             cell->change_capacity(id, worker.info.capacity.millicores);
