Try all waiting gangs of lovagebeamd in turn

What callers would have seen: a gang that fits on the fleet waits for as long as eight gangs wait that were accepted before it, at the limit of their team or without room.

A pass of the gang planner tries eight gangs, always the oldest ones that would fit on the idle fleet.

Change: the two oldest are tried in each pass, the others in turn.

Evidence: gang_behind_many_of_team_at_limit_is_placed and gang_behind_many_without_room_is_placed failed before the change (why: waiting_for_gang, 3 s after room was added).

--- a/src/placement/gang_planner.cpp
+++ b/src/placement/gang_planner.cpp
@@ -1,6 +1,7 @@
 #include "gang_planner.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace lovagebeam::placement::internal {
 
@@ -10,6 +11,8 @@
 /// The first gang of a pass may hold the reservation; the others are placed only if they fit
 /// without the reserved capacity.
 constexpr std::size_t max_gangs_per_pass = 8;
+/// So many of them are the oldest ones; the others go on where the last pass has ended.
+constexpr std::size_t oldest_gangs_per_pass = 2;
 /// Once a gang has waited for its team's upper limit longer than this, part of the limit is held
 /// for it and other jobs of the team wait.
 constexpr base::duration limit_wait_timeout = std::chrono::seconds{10};
@@ -146,34 +149,45 @@
 void gang_planner::try_gangs()
 {
     const std::vector<slot> gangs = m_gangs;
+    const slot resume_at = std::exchange(m_first_left_out, no_slot);
     std::size_t tried = 0;
-    for (const slot at : gangs) {
-        if (tried >= max_gangs_per_pass) {
-            break;
-        }
-        if (!feasible(at)) {
-            release_limit(at);
-            if (m_state.reserved.job == at) {
-                cancel_reservation();
-            }
-            continue;
-        }
-        ++tried;
-        const job_record& job = m_state.jobs[at];
-        const auto tasks = static_cast<std::int64_t>(job.pending.size());
-        if (!m_state.within_limit_for_job(at, scaled(job.size, tasks))) {
-            hold_limit(at);
-            continue;
+    for (auto next = gangs.begin(); next != gangs.end(); ++next) {
+        if (tried == oldest_gangs_per_pass) {
+            const auto first = std::find(next, gangs.end(), resume_at);
+            next = first == gangs.end() ? next : first;
         }
-        if (try_place(at)) {
-            continue;
+        if (tried >= max_gangs_per_pass) {
+            m_first_left_out = *next;
+            return;
         }
-        if (m_state.reserved.job == no_slot) {
-            reserve(at, static_cast<std::size_t>(tasks));
+        tried += try_gang(*next) ? 1 : 0;
+    }
+}
+
+bool gang_planner::try_gang(slot at)
+{
+    if (!feasible(at)) {
+        release_limit(at);
+        if (m_state.reserved.job == at) {
+            cancel_reservation();
         }
-        m_state.record_reason(at, m_state.reserved.job == at ? reason::waiting_for_reservation
-                                                             : reason::waiting_for_gang);
+        return false;
+    }
+    const job_record& job = m_state.jobs[at];
+    const auto tasks = static_cast<std::int64_t>(job.pending.size());
+    if (!m_state.within_limit_for_job(at, scaled(job.size, tasks))) {
+        hold_limit(at);
+        return true;
+    }
+    if (try_place(at)) {
+        return true;
     }
+    if (m_state.reserved.job == no_slot) {
+        reserve(at, static_cast<std::size_t>(tasks));
+    }
+    m_state.record_reason(at, m_state.reserved.job == at ? reason::waiting_for_reservation
+                                                         : reason::waiting_for_gang);
+    return true;
 }
 
 base::time_point gang_planner::expected_free_at(slot at) const
--- a/src/placement/gang_planner.h
+++ b/src/placement/gang_planner.h
@@ -30,6 +30,9 @@
     void hold_limit(slot job);
     void release_limit(slot job);
     void try_gangs();
+    /// Places the gang if it fits, or holds capacity for it. Returns false if it can't be placed
+    /// even on the idle fleet.
+    bool try_gang(slot job);
     void reserve_for_starved();
     void reserve(slot job, std::size_t tasks);
     void cancel_reservation();
@@ -41,7 +44,8 @@
     cell& m_state;
     dispatcher& m_dispatcher;
     preemptor& m_preemptor;
-    std::vector<slot> m_gangs; ///< waiting gangs in order of arrival
+    std::vector<slot> m_gangs;       ///< waiting gangs in order of arrival
+    slot m_first_left_out = no_slot; ///< by the last pass, so that each gang is tried in turn
     base::time_point m_last_run{};
 };
 
--- a/tests/placement/policy_test.cpp
+++ b/tests/placement/policy_test.cpp
@@ -20,6 +20,8 @@
     CPPUNIT_TEST(urgent_full_fleet_checkpoints_then_starts);
     CPPUNIT_TEST(urgent_full_fleet_of_unrepeatable_work_throttles);
     CPPUNIT_TEST(team_limit_is_not_exceeded_by_gang);
+    CPPUNIT_TEST(gang_behind_many_of_team_at_limit_is_placed);
+    CPPUNIT_TEST(gang_behind_many_without_room_is_placed);
     CPPUNIT_TEST(team_below_share_gets_capacity_back);
     CPPUNIT_TEST_SUITE_END();
 
@@ -158,6 +160,33 @@
         CPPUNIT_ASSERT_EQUAL(std::size_t{2}, cell.tasks_of("g").size());
     }
 
+    // Guards against gangs that no pass tries, since others that can't be placed were accepted
+    // before them.
+    void gang_behind_many_of_team_at_limit_is_placed()
+    {
+        harness cell;
+        cell.add_worker("w0", 2000);
+        team_settings settings;
+        settings.limit_cpu = base::millicores{1500};
+        cell.process(team_changed{base::team_id{"trust"}, settings});
+        cell.submit(job("b", job_kind::batch, 600));
+        submit_gangs(cell, 20, 500);
+        cell.submit(job("other", job_kind::gang, 900, 2, "other"));
+        check_placed_after_growth(cell);
+    }
+
+    // None of the first gangs fits on one worker more.
+    void gang_behind_many_without_room_is_placed()
+    {
+        harness cell;
+        cell.add_worker("w0", 2000);
+        cell.add_worker("w1", 6000);
+        cell.submit(job("b", job_kind::batch, 5500));
+        submit_gangs(cell, 20, 3000);
+        cell.submit(job("other", job_kind::gang, 900, 4, "other"));
+        check_placed_after_growth(cell);
+    }
+
     // Guards against a team that used the idle fleet and doesn't give up the excess over its share.
     void team_below_share_gets_capacity_back()
     {
@@ -170,6 +199,24 @@
         cell.advance(4s);
         CPPUNIT_ASSERT(cell.commands(command_kind::checkpoint, "a") > 0);
     }
+
+private:
+    static void submit_gangs(harness& cell, int count, std::int64_t cpu)
+    {
+        for (int i = 0; i < count; ++i) {
+            cell.submit(job("g" + std::to_string(i), job_kind::gang, cpu, 2));
+        }
+    }
+
+    /// Adds a worker on which, with the others, the gang "other" fits.
+    static void check_placed_after_growth(harness& cell)
+    {
+        cell.advance(1s);
+        CPPUNIT_ASSERT_EQUAL(std::size_t{0}, cell.tasks_of("other").size());
+        cell.add_worker("w2", 1800);
+        cell.advance(3s);
+        CPPUNIT_ASSERT_MESSAGE(cell.why("other"), !cell.tasks_of("other").empty());
+    }
 };
 
 CPPUNIT_TEST_SUITE_REGISTRATION(policy_test);
