Ask for advice on workers without room for the first steps only

Cause: a step that fits on no worker it may use asks the advice service about further ones, at most every 200 ms. That was done by the steps that each pass looks at. Since steps take turns, all that wait do so when their turn comes, about workers that have no room for them either, and each request looks at all workers of the pool.

Change: a step whose turn comes after others were left out asks only about workers that have room for it now; an urgent one for which no run can be stopped on the workers that it knows asks about any others every 2 s. The first steps ask as before, so that they have tickets when capacity becomes free.

--- a/include/lovagebeam/jobs/coordinator.h
+++ b/include/lovagebeam/jobs/coordinator.h
@@ -141,6 +141,7 @@
         const step_record& record;
         std::string pool;
         std::int64_t budget; ///< see `planning_order::next_step`; one task is placed at least
+        bool is_resumed;     ///< the same
         /// Of a worker that is fast enough; nothing where all workers are equally fast.
         std::optional<double> needed_speed;
     };
@@ -153,6 +154,8 @@
     enum class ticket_rule { valid, any };
     /// Whether a step waits for an answer from the advice service.
     enum class advice_wait { none, open };
+    /// Which of the workers that no call has named yet a call may name.
+    enum class advice_scope { all, with_room };
 
     struct preemption;
 
@@ -256,7 +259,7 @@
     {
         return ready.is_restart || (ready.priority == 0 && !ready.is_expired);
     }
-    obstacle plan_step(base::time_point now, const step_key& key, std::int64_t budget);
+    obstacle plan_step(base::time_point now, const planning_order::next_step& next);
     /// Requests advice and preemption for the tasks of a step that found no room.
     obstacle seek_room(base::time_point now, const planned_step& step, ready_step& ready,
                        bool has_placed_none);
@@ -313,7 +316,8 @@
                                        ready_step& ready);
     void request_advice_on_unknown_workers(const step_key& key, const job_spec& job,
                                            const std::string& pool, const advice_policy& policy,
-                                           advice_scheduler::call_rank rank);
+                                           advice_scheduler::call_rank rank,
+                                           advice_scope scope = advice_scope::all);
     /// A worker that no call about a step has named yet.
     struct advice_candidate {
         const candidate_worker* worker = nullptr;
--- a/include/lovagebeam/jobs/coordinator_settings.h
+++ b/include/lovagebeam/jobs/coordinator_settings.h
@@ -44,6 +44,9 @@
     milliseconds shortage_memory{500};
     /// How often advice on further workers is requested for a step that fits on no allowed worker.
     milliseconds advice_query_interval{200};
+    /// The same for an urgent step that earlier passes have left out, when no runs can be stopped
+    /// for it on the workers that it knows.
+    milliseconds resumed_query_interval{2'000};
     /// Minimum interval between planning passes, so that the events in between share one pass.
     milliseconds plan_interval{4};
     /// Passes cost more with a backlog, so each ready step adds this to the interval, up to
--- a/include/lovagebeam/jobs/step_order.h
+++ b/include/lovagebeam/jobs/step_order.h
@@ -148,6 +148,8 @@
         /// capacity that becomes free between two looks goes to whichever account is looked at
         /// next.
         bool is_first_of_account = false;
+        /// Whether the step's turn has come after others were left out.
+        bool is_resumed = false;
         /// Counted millicores after which another account comes first with steps that are equal up
         /// to lateness.
         std::int64_t budget = unlimited;
--- a/src/jobs/gang_holds.cpp
+++ b/src/jobs/gang_holds.cpp
@@ -33,6 +33,7 @@
                             record,
                             pool_of(job.spec),
                             std::numeric_limits<std::int64_t>::max(),
+                            false,
                             std::nullopt};
     if (record.placed > 0 || !is_within_limit(job.spec.account, total_size(step))) {
         return;
--- a/src/jobs/planning.cpp
+++ b/src/jobs/planning.cpp
@@ -59,7 +59,7 @@
             hold_for_gang(now, step->key);
             continue;
         }
-        const auto outcome = plan_step(now, step->key, step->budget);
+        const auto outcome = plan_step(now, *step);
         if (outcome == obstacle::no_capacity) {
             m_last_shortage = now;
             if (!pass.is_full() && is_short(now)) {
@@ -97,7 +97,7 @@
     for (const auto& rank : answered) {
         const auto key = std::get<step_key>(rank);
         if (const auto budget = answered_budget(key); budget > 0) {
-            static_cast<void>(plan_step(now, key, budget));
+            static_cast<void>(plan_step(now, {key, false, false, budget}));
         }
         else {
             m_ready.at(key).next_look = {};
@@ -112,9 +112,9 @@
                                : base::duration{m_settings.planner.look_interval};
 }
 
-obstacle coordinator::plan_step(base::time_point now, const step_key& planned, std::int64_t budget)
+obstacle coordinator::plan_step(base::time_point now, const planning_order::next_step& next)
 {
-    const auto key = planned;
+    const auto key = next.key;
     auto& ready = m_ready.at(key);
     const auto* const job = m_ledger.find(key.job);
     if (job == nullptr || is_final(job->state) || job->step(key.occurrence, key.step).undone == 0) {
@@ -126,7 +126,8 @@
                       job->spec.steps[key.step],
                       job->step(key.occurrence, key.step),
                       pool_of(job->spec),
-                      budget,
+                      next.budget,
+                      next.is_resumed,
                       std::nullopt};
     step.needed_speed = needed_speed_of(step);
     if (now < ready.not_before) {
--- a/src/jobs/planning_advice.cpp
+++ b/src/jobs/planning_advice.cpp
@@ -60,8 +60,10 @@
     if (wanted.empty()) {
         if (now >= ready.query_not_before) {
             ready.query_not_before = now + m_settings.planner.advice_query_interval;
-            request_advice_on_unknown_workers(step.key, step.job.spec, step.pool, policy,
-                                              call_rank_of(ready));
+            // Capacity may become free anywhere, but one of the first steps gets it then.
+            request_advice_on_unknown_workers(
+                step.key, step.job.spec, step.pool, policy, call_rank_of(ready),
+                step.is_resumed ? advice_scope::with_room : advice_scope::all);
         }
         return m_advice.is_first_call_open(step.key) ? advice_wait::open : advice_wait::none;
     }
@@ -86,15 +88,18 @@
 void coordinator::request_advice_on_unknown_workers(const step_key& key, const job_spec& job,
                                                     const std::string& pool,
                                                     const advice_policy& policy,
-                                                    advice_scheduler::call_rank rank)
+                                                    advice_scheduler::call_rank rank,
+                                                    advice_scope scope)
 {
     const auto* const known = m_advice.find(key);
     const auto& step = job.steps[key.step];
     const auto step_hash = std::hash<std::uint64_t>{}(key.job.value()) + key.step;
     std::vector<advice_candidate> unknown;
     const auto* const total = m_candidates.pool(pool);
+    const auto booked = booked_size(step);
     for (const auto& candidate : m_candidates.all()) {
-        if (!candidate.is_usable || &m_candidates.pools()[candidate.pool] != total) {
+        if (!candidate.is_usable || &m_candidates.pools()[candidate.pool] != total ||
+            (scope == advice_scope::with_room && !booked.fits_in(candidate.free))) {
             continue;
         }
         const auto& info = *candidate.info;
--- a/src/jobs/preemption.cpp
+++ b/src/jobs/preemption.cpp
@@ -293,7 +293,8 @@
     auto& ready = m_ready.at(step.key);
     const auto* const policy = advice_for(step.job.spec);
     if (policy != nullptr && now >= ready.query_not_before && !m_advice.is_call_open(step.key)) {
-        ready.query_not_before = now + m_settings.planner.advice_query_interval;
+        ready.query_not_before = now + (step.is_resumed ? m_settings.planner.resumed_query_interval
+                                                        : m_settings.planner.advice_query_interval);
         request_advice_on_unknown_workers(step.key, step.job.spec, step.pool, *policy,
                                           call_rank_of(ready));
     }
@@ -477,7 +478,7 @@
         }
     }
     for (const auto& [key, budget] : left_out) {
-        static_cast<void>(plan_step(now, key, budget));
+        static_cast<void>(plan_step(now, {key, false, false, budget}));
     }
 }
 
--- a/src/jobs/step_order.cpp
+++ b/src/jobs/step_order.cpp
@@ -385,7 +385,8 @@
         const bool is_first =
             is_shared() && m_input.is_full &&
             account.vain.unplaceable + account.vain.at_limit < first_steps_of_account;
-        return next_step{front.key, is_first, budget_of(front)};
+        const bool is_resumed = from.has_resumed;
+        return next_step{front.key, is_first, is_resumed, budget_of(front)};
     }
     end_level();
     return std::nullopt;
